Lay the build, the shared types and the protocols between processes

Cause: nothing exists yet; parts are built side by side and need their arrows first. Conclusion: the aggregates can be written against EventHandler alone.

--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueSnapshot.java
@@ -0,0 +1,130 @@
+package org.mustardlane.core.catalogue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.mustardlane.core.common.EntryName;
+import org.mustardlane.core.common.OrganisationId;
+import org.mustardlane.core.common.Rendezvous;
+import org.mustardlane.core.common.ShardId;
+import org.mustardlane.core.common.TargetId;
+
+/**
+ * The catalogue at one revision.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ */
+public final class CatalogueSnapshot {
+
+	/**
+	 * Most targets of one shard; more targets of a pool in a failure domain are split.
+	 */
+	public static final int SHARD_TARGETS = 16;
+
+	/**
+	 * The catalogue before the first change.
+	 */
+	public static final CatalogueSnapshot EMPTY = new CatalogueSnapshot(0, Map.of(), Map.of(), Map.of());
+
+	private final long revision;
+
+	private final Map<EntryName, CatalogueEntry> entries;
+
+	private final Map<OrganisationId, Organisation> organisations;
+
+	private final Map<TargetId, Target> targets;
+
+	private final Map<ShardId, List<Target>> shards;
+
+	private final Map<TargetId, ShardId> shardOfTarget;
+
+	/**
+	 * Creates a snapshot.
+	 * @param revision log offset of the newest change in it, 0 before the first
+	 * @param entries the entries by name
+	 * @param organisations the organisations by name
+	 * @param targets the targets by name
+	 */
+	public CatalogueSnapshot(long revision, Map<EntryName, CatalogueEntry> entries,
+			Map<OrganisationId, Organisation> organisations, Map<TargetId, Target> targets) {
+		this.revision = revision;
+		this.entries = Map.copyOf(entries);
+		this.organisations = Map.copyOf(organisations);
+		this.targets = Map.copyOf(targets);
+		this.shards = split(this.targets.values());
+		this.shardOfTarget = this.shards.entrySet()
+			.stream()
+			.flatMap((shard) -> shard.getValue().stream().map((target) -> Map.entry(target.id(), shard.getKey())))
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+	}
+
+	private static Map<ShardId, List<Target>> split(Collection<Target> targets) {
+		Map<ShardId, List<Target>> whole = new TreeMap<>(targets.stream()
+			.collect(Collectors.groupingBy((target) -> new ShardId(target.pool(), target.domain(), 0))));
+		Map<ShardId, List<Target>> shards = new TreeMap<>();
+		whole.forEach((shard, members) -> {
+			int count = (members.size() + SHARD_TARGETS - 1) / SHARD_TARGETS;
+			members.forEach((target) -> {
+				int index = (int) Long.remainderUnsigned(Rendezvous.hash(target.id().value()), count);
+				ShardId part = new ShardId(shard.pool(), shard.domain(), index);
+				shards.computeIfAbsent(part, (key) -> new ArrayList<>()).add(target);
+			});
+		});
+		shards.replaceAll((shard, members) -> List.copyOf(members));
+		return Map.copyOf(shards);
+	}
+
+	/**
+	 * Returns the log offset of the newest change in this snapshot.
+	 * @return the revision, 0 before the first change
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns the entries by name.
+	 * @return the entries
+	 */
+	public Map<EntryName, CatalogueEntry> entries() {
+		return this.entries;
+	}
+
+	/**
+	 * Returns the organisations by name.
+	 * @return the organisations
+	 */
+	public Map<OrganisationId, Organisation> organisations() {
+		return this.organisations;
+	}
+
+	/**
+	 * Returns the targets by name.
+	 * @return the targets
+	 */
+	public Map<TargetId, Target> targets() {
+		return this.targets;
+	}
+
+	/**
+	 * Returns the targets of each shard.
+	 * @return the shards that have a target
+	 */
+	public Map<ShardId, List<Target>> shards() {
+		return this.shards;
+	}
+
+	/**
+	 * Returns the shard of each target.
+	 * @return the shards by target
+	 */
+	public Map<TargetId, ShardId> shardOfTarget() {
+		return this.shardOfTarget;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ServiceClass.java
@@ -0,0 +1,23 @@
+package org.mustardlane.core.catalogue;
+
+/**
+ * How urgent the work of an entry is; earlier constants go first.
+ */
+public enum ServiceClass {
+
+	/**
+	 * Work that must not wait: triage, dispatch, lot releases.
+	 */
+	URGENT,
+
+	/**
+	 * Work that a person waits for: questions, chats, status checks.
+	 */
+	INTERACTIVE,
+
+	/**
+	 * Long work that may wait and may be interrupted: season summaries, digests.
+	 */
+	BULK
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/common/Rendezvous.java
@@ -0,0 +1,78 @@
+package org.mustardlane.core.common;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Rendezvous hashing: an order of candidates for each key that all processes compute
+ * alike, and that changes little when a candidate comes or goes.
+ *
+ * <p>
+ * Thread-safe: all methods are pure functions.
+ */
+public final class Rendezvous {
+
+	private static final long MIX = 0x9E3779B97F4A7C15L;
+
+	private Rendezvous() {
+	}
+
+	/**
+	 * Hashes a text to 64 bits, alike in every process.
+	 * @param text the text
+	 * @return the hash
+	 */
+	public static long hash(String text) {
+		return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+	}
+
+	/**
+	 * Scores a candidate for a key; the highest score wins.
+	 * @param keyHash the hash of the key
+	 * @param candidateHash the hash of the candidate
+	 * @return the score, to be compared unsigned
+	 */
+	public static long score(long keyHash, long candidateHash) {
+		long mixed = (keyHash ^ Long.rotateLeft(candidateHash, 31)) * MIX;
+		mixed = (mixed ^ (mixed >>> 32)) * MIX;
+		mixed = (mixed ^ (mixed >>> 29)) * MIX;
+		return mixed ^ (mixed >>> 32);
+	}
+
+	/**
+	 * Orders candidates for a key, the best first.
+	 * @param <T> kind of candidate, with a text that is alike in every process
+	 * @param keyHash the hash of the key
+	 * @param candidates the candidates
+	 * @return the candidates in order
+	 */
+	public static <T> List<T> rank(long keyHash, Collection<T> candidates) {
+		Comparator<Scored<T>> best = (one, other) -> Long.compareUnsigned(other.score(), one.score());
+		return candidates.stream()
+			.map((candidate) -> new Scored<>(candidate, score(keyHash, hash(candidate.toString()))))
+			.sorted(best.thenComparing((scored) -> scored.candidate().toString()))
+			.map(Scored::candidate)
+			.toList();
+	}
+
+	/**
+	 * Returns the best candidate for a key.
+	 * @param <T> kind of candidate, with a text that is alike in every process
+	 * @param keyHash the hash of the key
+	 * @param candidates the candidates
+	 * @return the first of {@link #rank}, or empty without candidates
+	 */
+	public static <T> Optional<T> first(long keyHash, Collection<T> candidates) {
+		return rank(keyHash, candidates).stream().findFirst();
+	}
+
+	private record Scored<T>(T candidate, long score) {
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/AbortAnswer.java
@@ -0,0 +1,14 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.execution.Refusal;
+
+/**
+ * Break the response off in a way that the caller can see.
+ *
+ * @param requestId the request
+ * @param refusal why
+ */
+public record AbortAnswer(RequestId requestId, Refusal refusal) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/FinishAnswer.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.RequestId;
+
+/**
+ * End the response to the caller: the answer is whole.
+ *
+ * @param requestId the request
+ */
+public record FinishAnswer(RequestId requestId) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/FollowStream.java
@@ -0,0 +1,13 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.log.StreamName;
+
+/**
+ * Read a stream from an offset and go on reading.
+ *
+ * @param stream the stream
+ * @param fromOffset first offset to read
+ */
+public record FollowStream(StreamName stream, long fromOffset) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/LogRecordsRead.java
@@ -0,0 +1,27 @@
+package org.mustardlane.core.event;
+
+import java.util.List;
+
+import org.mustardlane.core.log.LogRecord;
+import org.mustardlane.core.log.StreamName;
+
+/**
+ * Records of a followed stream have been read.
+ *
+ * @param stream the stream
+ * @param firstRetainedOffset oldest offset that the log still holds
+ * @param nextOffset offset after the last record of the stream that was read
+ * @param atEnd whether the read reached the end of the stream
+ * @param records the records, in offset order
+ */
+public record LogRecordsRead(StreamName stream, long firstRetainedOffset, long nextOffset, boolean atEnd,
+		List<LogRecord> records) implements NodeEvent {
+
+	/**
+	 * Copies the collections, so that the record is immutable.
+	 */
+	public LogRecordsRead {
+		records = List.copyOf(records);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/NodeEvent.java
@@ -0,0 +1,11 @@
+package org.mustardlane.core.event;
+
+/**
+ * Something that a router sees.
+ */
+public sealed interface NodeEvent permits RequestArrived, RequestCancelled, AttemptSending, AttemptHeadReceived,
+		AttemptBytesReceived, AttemptEnded, JoinEnded, PeerMessageReceived, PeerUnreachable, LogRecordsRead,
+		LogReadFailed, LogAppendEnded, VmListRead, TargetReported, TargetPollFailed, Tick, DrainRequested,
+		PublishRequested, CatalogueChanged, OwnershipChanged {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/PeerMessageReceived.java
@@ -0,0 +1,14 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.message.PeerMessage;
+
+/**
+ * A message from another router has arrived.
+ *
+ * @param sender the sender
+ * @param message the message
+ */
+public record PeerMessageReceived(VmId sender, PeerMessage message) implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/RefuseRequest.java
@@ -0,0 +1,14 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.execution.Refusal;
+
+/**
+ * Give the caller its final word; no byte of a response has been sent.
+ *
+ * @param requestId the request
+ * @param refusal the word
+ */
+public record RefuseRequest(RequestId requestId, Refusal refusal) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/RequestCancelled.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.RequestId;
+
+/**
+ * A caller has gone away.
+ *
+ * @param requestId the request
+ */
+public record RequestCancelled(RequestId requestId) implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/SendStoredAnswer.java
@@ -0,0 +1,14 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.message.StoredAnswer;
+
+/**
+ * Give the caller the kept answer of the request that holds its claim.
+ *
+ * @param requestId the request
+ * @param answer the answer
+ */
+public record SendStoredAnswer(RequestId requestId, StoredAnswer answer) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/StartAttempt.java
@@ -0,0 +1,28 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.catalogue.ServiceClass;
+import org.mustardlane.core.catalogue.Target;
+import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.execution.AttemptKind;
+
+/**
+ * Send a request to a target.
+ *
+ * @param requestId the request
+ * @param attempt number of the attempt, from 1
+ * @param target the target
+ * @param kind how the attempt begins
+ * @param generationId with {@code RESUME}: the generation to read on
+ * @param offsetBytes with {@code RESUME} and {@code CONTINUE}: bytes already delivered
+ * @param path path of the call
+ * @param serviceClass priority at the engine
+ * @param dispatchDeadlineMillis checked last before the first byte: after it nothing may
+ * be sent
+ * @param answerDeadlineMillis when the attempt is given up
+ * @param fencingNumber log offset of the claim, 0 without one
+ */
+public record StartAttempt(RequestId requestId, int attempt, Target target, AttemptKind kind, String generationId,
+		long offsetBytes, String path, ServiceClass serviceClass, long dispatchDeadlineMillis,
+		long answerDeadlineMillis, long fencingNumber) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetPollFailed.java
@@ -0,0 +1,13 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.common.TargetId;
+
+/**
+ * A target did not answer a poll of its load.
+ *
+ * @param target the target
+ * @param detail what was seen
+ */
+public record TargetPollFailed(TargetId target, String detail) implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetReported.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.target.LoadReport;
+
+/**
+ * A target has answered a poll of its load.
+ *
+ * @param report the report
+ */
+public record TargetReported(LoadReport report) implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/Tick.java
@@ -0,0 +1,8 @@
+package org.mustardlane.core.event;
+
+/**
+ * Time has passed; the daemon sends one every few milliseconds.
+ */
+public record Tick() implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/UnfollowStream.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.log.StreamName;
+
+/**
+ * Stop reading a stream.
+ *
+ * @param stream the stream
+ */
+public record UnfollowStream(StreamName stream) implements NodeAction {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/VmListRead.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.event;
+
+import org.mustardlane.core.membership.VmList;
+
+/**
+ * The VM list has been read from the platform.
+ *
+ * @param vmList the list
+ */
+public record VmListRead(VmList vmList) implements NodeEvent {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/AttemptEnd.java
@@ -0,0 +1,33 @@
+package org.mustardlane.core.execution;
+
+/**
+ * How an attempt ended.
+ */
+public enum AttemptEnd {
+
+	/**
+	 * The answer was received to its end.
+	 */
+	WHOLE,
+
+	/**
+	 * No byte of the request was handed to the connection.
+	 */
+	NOT_SENT,
+
+	/**
+	 * The target said that it did not start the request.
+	 */
+	REFUSED,
+
+	/**
+	 * The request was sent in part or whole and no whole answer came.
+	 */
+	BROKEN,
+
+	/**
+	 * The engine does not hold the generation that was to be resumed.
+	 */
+	GENERATION_LOST
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/log/StreamName.java
@@ -0,0 +1,36 @@
+package org.mustardlane.core.log;
+
+/**
+ * Names a stream of the log.
+ *
+ * @param value the text of the name
+ */
+public record StreamName(String value) {
+
+	/**
+	 * The stream of catalogue changes and checkpoints.
+	 */
+	public static final StreamName CATALOGUE = new StreamName("catalogue");
+
+	/**
+	 * The stream of leases and orders to engines.
+	 */
+	public static final StreamName ORDERS = new StreamName("orders");
+
+	private static final String CLAIMS_PREFIX = "claims-";
+
+	/**
+	 * Returns the stream of one partition of the claims.
+	 * @param partition number of the partition, from 0
+	 * @return the stream
+	 */
+	public static StreamName claims(int partition) {
+		return new StreamName(CLAIMS_PREFIX + partition);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/VmHeartbeat.java
@@ -0,0 +1,21 @@
+package org.mustardlane.core.membership;
+
+import org.mustardlane.core.common.DomainId;
+import org.mustardlane.core.common.VmId;
+
+/**
+ * The newest sign of life known of a router.
+ *
+ * @param vm the VM
+ * @param domain its failure domain
+ * @param incarnation start time of the process in milliseconds
+ * @param counter grows while the process lives
+ * @param draining whether the router is stopping
+ * @param host IP address for other routers
+ * @param port TCP port for other routers
+ * @param catalogueRevision the newest catalogue revision that the router has in force
+ */
+public record VmHeartbeat(VmId vm, DomainId domain, long incarnation, long counter, boolean draining, String host,
+		int port, long catalogueRevision) {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/CatalogueRelay.java
@@ -0,0 +1,22 @@
+package org.mustardlane.core.message;
+
+import java.util.List;
+
+import org.mustardlane.core.log.LogRecord;
+
+/**
+ * Catalogue records from a peer.
+ *
+ * @param records the records, in offset order; a checkpoint comes first where older ones
+ * are gone
+ */
+public record CatalogueRelay(List<LogRecord> records) implements PeerMessage {
+
+	/**
+	 * Copies the collections, so that the record is immutable.
+	 */
+	public CatalogueRelay {
+		records = List.copyOf(records);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
@@ -0,0 +1,34 @@
+package org.mustardlane.core.order;
+
+import java.util.List;
+
+import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.NodeEvent;
+
+/**
+ * Issues orders to engines under a lease.
+ */
+public final class OrderHandler implements EventHandler {
+
+	private final VmId self;
+
+	private final long incarnationMillis;
+
+	/**
+	 * Creates the handler.
+	 * @param self this router
+	 * @param incarnationMillis start time of this process in milliseconds
+	 */
+	public OrderHandler(VmId self, long incarnationMillis) {
+		this.self = self;
+		this.incarnationMillis = incarnationMillis;
+	}
+
+	@Override
+	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
+		return List.of();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/common/RankedLockTests.java
@@ -0,0 +1,32 @@
+package org.mustardlane.core.common;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+/**
+ * Tests of {@link RankedLock}.
+ */
+public class RankedLockTests {
+
+	private final RankedLock requests = new RankedLock(LockRank.REQUESTS);
+
+	private final RankedLock claims = new RankedLock(LockRank.CLAIMS);
+
+	@Test
+	public void takesLocksInOrder() {
+		assertEquals(this.requests.locked(() -> this.claims.locked(() -> 1)).intValue(), 1);
+	}
+
+	@Test
+	public void refusesLockOfLowerRank() {
+		assertThrows(IllegalStateException.class, () -> this.claims.locked(() -> this.requests.locked(() -> 1)));
+	}
+
+	@Test
+	public void refusesSecondLockOfSameRank() {
+		assertThrows(IllegalStateException.class, () -> this.claims.locked(() -> this.claims.locked(() -> 1)));
+	}
+
+}
