Set plain data apart from the aggregates

The events depend on the data of the aggregates, and the handlers on the events. Change: the data moves into core.model.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -2,10 +2,11 @@
 
 import java.util.List;
 
-import org.mustardlane.core.common.VmId;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * Folds the catalogue out of the log and publishes changes.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/package-info.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What operators have published: entries, organisations and targets, folded from the log.
+ * The catalogue on one router: parsing, publishing and folding it out of the log.
  */
 @NullMarked
 package org.mustardlane.core.catalogue;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/AbortAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/AbortAnswer.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.execution.Refusal;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.execution.Refusal;
 
 /**
  * Break the response off in a way that the caller can see.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/AppendLog.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/AppendLog.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 
-import org.mustardlane.core.log.RecordBody;
-import org.mustardlane.core.log.StreamName;
+import org.mustardlane.core.model.log.RecordBody;
+import org.mustardlane.core.model.log.StreamName;
 
 /**
  * Append records in one step.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/AttemptHeadReceived.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/AttemptHeadReceived.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * The head of an answer has arrived.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/AttemptSending.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/AttemptSending.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * The first byte of an attempt is about to be handed to the connection; from here on it
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/CatalogueChanged.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/CatalogueChanged.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
 
 /**
  * A newer catalogue is in force on this router; raised by the catalogue aggregate itself.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/FollowStream.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/FollowStream.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.log.StreamName;
+import org.mustardlane.core.model.log.StreamName;
 
 /**
  * Read a stream from an offset and go on reading.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/ForwardAttempt.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/ForwardAttempt.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * Pass the answer of this attempt to the caller from now on, head first if none was sent.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/JoinAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/JoinAnswer.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * Pass on the answer that another router, or this one for another request, produces.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/JoinEnded.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/JoinEnded.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * The stream of an answer that another router produces has ended.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/KeepAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/KeepAnswer.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * Hold a copy of the answer of this request, up to a size, for its completion record and
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/LogReadFailed.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/LogReadFailed.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.log.StreamName;
+import org.mustardlane.core.model.log.StreamName;
 
 /**
  * A followed stream could not be read.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/LogRecordsRead.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/LogRecordsRead.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 
-import org.mustardlane.core.log.LogRecord;
-import org.mustardlane.core.log.StreamName;
+import org.mustardlane.core.model.log.LogRecord;
+import org.mustardlane.core.model.log.StreamName;
 
 /**
  * Records of a followed stream have been read.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/OwnershipChanged.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/OwnershipChanged.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.membership.Ownership;
+import org.mustardlane.core.model.membership.Ownership;
 
 /**
  * The set of live routers, as this router sees it, has changed; raised by the membership
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/PeerUnreachable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/PeerUnreachable.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.VmId;
 import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * A message could not be handed to another router.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/PollTarget.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/PollTarget.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.catalogue.Target;
+import org.mustardlane.core.model.catalogue.Target;
 
 /**
  * Ask a target for its load.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/PublishEnded.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/PublishEnded.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.catalogue.PublishResult;
+import org.mustardlane.core.model.catalogue.PublishResult;
 
 /**
  * Tell the operator what became of a catalogue change.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/PublishRequested.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/PublishRequested.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.catalogue.CatalogueChange;
+import org.mustardlane.core.model.catalogue.CatalogueChange;
 
 /**
  * An operator wants a catalogue change published.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/RecordEvent.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/RecordEvent.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.timeline.TimelineEvent;
+import org.mustardlane.core.model.timeline.TimelineEvent;
 
 /**
  * Put an event on the time line.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/RefuseRequest.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/RefuseRequest.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.execution.Refusal;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.execution.Refusal;
 
 /**
  * Give the caller its final word; no byte of a response has been sent.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/RequestArrived.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/RequestArrived.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.execution.CallerRequest;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.execution.CallerRequest;
 
 /**
  * A caller has sent a whole request.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/SendStoredAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/SendStoredAnswer.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.RequestId;
 import org.mustardlane.core.message.StoredAnswer;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * Give the caller the kept answer of the request that holds its claim.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/StartAttempt.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/StartAttempt.java
@@ -1,9 +1,9 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.catalogue.ServiceClass;
-import org.mustardlane.core.catalogue.Target;
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.execution.AttemptKind;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.execution.AttemptKind;
 
 /**
  * Send a request to a target.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetPollFailed.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetPollFailed.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.common.TargetId;
+import org.mustardlane.core.model.common.TargetId;
 
 /**
  * A target did not answer a poll of its load.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetReported.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/TargetReported.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.target.LoadReport;
+import org.mustardlane.core.model.target.LoadReport;
 
 /**
  * A target has answered a poll of its load.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/VmListRead.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/VmListRead.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.event;
 
-import org.mustardlane.core.membership.VmList;
+import org.mustardlane.core.model.membership.VmList;
 
 /**
  * The VM list has been read from the platform.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/package-info.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Which VMs live and which of them owns a shard or a partition.
+ * Which routers live, and what follows from it.
  */
 @NullMarked
 package org.mustardlane.core.membership;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/CatalogueRelay.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/CatalogueRelay.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.mustardlane.core.log.LogRecord;
+import org.mustardlane.core.model.log.LogRecord;
 
 /**
  * Catalogue records from a peer.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/ClaimAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/ClaimAnswer.java
@@ -2,8 +2,8 @@
 
 import java.util.Optional;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * Answers a {@link ClaimAsk}.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/ClaimAsk.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/ClaimAsk.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.message;
 
-import org.mustardlane.core.common.RequestId;
+import org.mustardlane.core.model.common.RequestId;
 
 /**
  * Asks the owner of a partition to claim an idempotency key.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/Gossip.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/Gossip.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.mustardlane.core.membership.VmHeartbeat;
+import org.mustardlane.core.model.membership.VmHeartbeat;
 
 /**
  * What a router knows of the fleet, told to a random peer.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantAnswer.java
@@ -2,10 +2,10 @@
 
 import java.util.Optional;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.TargetId;
-import org.mustardlane.core.execution.RefusalCode;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.execution.RefusalCode;
 
 /**
  * Answers a {@link GrantAsk}.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantAsk.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantAsk.java
@@ -2,12 +2,12 @@
 
 import java.util.Set;
 
-import org.mustardlane.core.catalogue.ServiceClass;
-import org.mustardlane.core.common.EntryName;
-import org.mustardlane.core.common.OrganisationId;
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.TargetId;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
 
 /**
  * Asks the owner of a shard for the right to use a target.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantRelease.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantRelease.java
@@ -1,9 +1,9 @@
 package org.mustardlane.core.message;
 
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.TargetId;
-import org.mustardlane.core.target.AttemptTiming;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.target.AttemptTiming;
 
 /**
  * Gives a grant back, with what was seen of the target.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantRenewal.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/GrantRenewal.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.mustardlane.core.common.ShardId;
+import org.mustardlane.core.model.common.ShardId;
 
 /**
  * Names all grants of a shard that the sender still uses.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/HeldGrant.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/HeldGrant.java
@@ -1,9 +1,9 @@
 package org.mustardlane.core.message;
 
-import org.mustardlane.core.catalogue.ServiceClass;
-import org.mustardlane.core.common.OrganisationId;
-import org.mustardlane.core.common.RequestId;
-import org.mustardlane.core.common.TargetId;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.TargetId;
 
 /**
  * A grant that a router still uses.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/ShardLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/ShardLoad.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.message;
 
-import org.mustardlane.core.common.ShardId;
+import org.mustardlane.core.model.common.ShardId;
 
 /**
  * The load of a shard, from its owner to the owners of the other shards of the pool.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/VmListRelay.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/VmListRelay.java
@@ -1,6 +1,6 @@
 package org.mustardlane.core.message;
 
-import org.mustardlane.core.membership.VmList;
+import org.mustardlane.core.model.membership.VmList;
 
 /**
  * The VM list from a peer.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueEntry.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/CatalogueEntry.java
@@ -1,8 +1,8 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
-import org.mustardlane.core.common.EntryName;
-import org.mustardlane.core.common.OrganisationId;
-import org.mustardlane.core.common.PoolId;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.PoolId;
 
 /**
  * What operators have published about one kind of work.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueSnapshot.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/CatalogueSnapshot.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,11 +7,11 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
-import org.mustardlane.core.common.EntryName;
-import org.mustardlane.core.common.OrganisationId;
-import org.mustardlane.core.common.Rendezvous;
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.TargetId;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.Rendezvous;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
 
 /**
  * The catalogue at one revision.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/Organisation.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/Organisation.java
@@ -1,6 +1,6 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
-import org.mustardlane.core.common.OrganisationId;
+import org.mustardlane.core.model.common.OrganisationId;
 
 /**
  * An organisation that may call, with its fleet-wide limits.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishVerdict.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/PublishVerdict.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
 /**
  * What became of a catalogue change.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ServiceClass.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/ServiceClass.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
 /**
  * How urgent the work of an entry is; earlier constants go first.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/Target.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/catalogue/Target.java
@@ -1,8 +1,8 @@
-package org.mustardlane.core.catalogue;
+package org.mustardlane.core.model.catalogue;
 
-import org.mustardlane.core.common.DomainId;
-import org.mustardlane.core.common.PoolId;
-import org.mustardlane.core.common.TargetId;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.TargetId;
 
 /**
  * An engine or a replica of a plain service.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/common/LockRank.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/LockRank.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.common;
+package org.mustardlane.core.model.common;
 
 /**
  * The order in which one thread may take the locks of the tables, first to last.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/common/OrganisationId.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/OrganisationId.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.common;
+package org.mustardlane.core.model.common;
 
 /**
  * Names an organisation.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/common/PoolId.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/PoolId.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.common;
+package org.mustardlane.core.model.common;
 
 /**
  * Names a pool: the targets among which an entry may choose.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/common/TargetId.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/TargetId.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.common;
+package org.mustardlane.core.model.common;
 
 /**
  * Names a target: a model engine or a replica of a plain service.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/AttemptKind.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/AttemptKind.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.execution;
+package org.mustardlane.core.model.execution;
 
 /**
  * How an attempt begins.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/CallerRequest.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/CallerRequest.java
@@ -1,9 +1,9 @@
-package org.mustardlane.core.execution;
+package org.mustardlane.core.model.execution;
 
 import java.util.Optional;
 
-import org.mustardlane.core.common.EntryName;
-import org.mustardlane.core.common.OrganisationId;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
 
 /**
  * A request as it arrived, its body read to the end.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/Outcome.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/Outcome.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.execution;
+package org.mustardlane.core.model.execution;
 
 /**
  * What became of a request, as its caller is told.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/Refusal.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/Refusal.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.execution;
+package org.mustardlane.core.model.execution;
 
 /**
  * The final word on a request that is not answered.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RefusalCode.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/RefusalCode.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.execution;
+package org.mustardlane.core.model.execution;
 
 /**
  * Why a request was not answered; part of the contract with callers.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/log/LogRecord.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/log/LogRecord.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.log;
+package org.mustardlane.core.model.log;
 
 /**
  * One record of a stream of the log.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/log/RecordBody.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/log/RecordBody.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.log;
+package org.mustardlane.core.model.log;
 
 /**
  * A record that is to be appended.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/log/StreamName.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/log/StreamName.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.log;
+package org.mustardlane.core.model.log;
 
 /**
  * Names a stream of the log.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/log/package-info.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/log/package-info.java
@@ -2,6 +2,6 @@
  * Records of the append-only log of the platform.
  */
 @NullMarked
-package org.mustardlane.core.log;
+package org.mustardlane.core.model.log;
 
 import org.jspecify.annotations.NullMarked;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/Ownership.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/Ownership.java
@@ -1,13 +1,13 @@
-package org.mustardlane.core.membership;
+package org.mustardlane.core.model.membership;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-import org.mustardlane.core.common.DomainId;
-import org.mustardlane.core.common.Rendezvous;
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.Rendezvous;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * Which live router owns a shard or a partition, as one router sees it.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/VmEntry.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmEntry.java
@@ -1,7 +1,7 @@
-package org.mustardlane.core.membership;
+package org.mustardlane.core.model.membership;
 
-import org.mustardlane.core.common.DomainId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * A row of the VM list of the platform.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/VmHeartbeat.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmHeartbeat.java
@@ -1,7 +1,7 @@
-package org.mustardlane.core.membership;
+package org.mustardlane.core.model.membership;
 
-import org.mustardlane.core.common.DomainId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * The newest sign of life known of a router.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/VmList.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmList.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.membership;
+package org.mustardlane.core.model.membership;
 
 import java.util.List;
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/VmState.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmState.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.membership;
+package org.mustardlane.core.model.membership;
 
 /**
  * What the list of the platform says of a VM.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/timeline/TimelineEvent.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/timeline/TimelineEvent.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.timeline;
+package org.mustardlane.core.model.timeline;
 
 /**
  * Something that a process did or saw, with its place in the causal order.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Map;
 
-import org.mustardlane.core.catalogue.CatalogueSnapshot;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
 
 /**
  * The whole of a router without its input and output: turns every event that a router can
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/NodeSettings.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/NodeSettings.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.node;
 
-import org.mustardlane.core.common.DomainId;
-import org.mustardlane.core.common.VmId;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * What a node is told at its start.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/NodeStatus.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/NodeStatus.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Map;
 
-import org.mustardlane.core.common.ShardId;
-import org.mustardlane.core.common.VmId;
-import org.mustardlane.core.membership.VmHeartbeat;
 import org.mustardlane.core.message.ShardLoad;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.VmHeartbeat;
 
 /**
  * What a router knows of itself and of the fleet.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 
-import org.mustardlane.core.common.VmId;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.model.common.VmId;
 
 /**
  * Issues orders to engines under a lease.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/timeline/package-info.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/timeline/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Events of all processes in causal order.
+ * The time line: events of all processes in causal order.
  */
 @NullMarked
 package org.mustardlane.core.timeline;
--- a/mustardlane-core/src/test/java/org/mustardlane/core/common/RankedLockTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/model/common/RankedLockTests.java
@@ -1,4 +1,4 @@
-package org.mustardlane.core.common;
+package org.mustardlane.core.model.common;
 
 import org.testng.annotations.Test;
 
