--- /dev/null
+++ b/mustardlane-standin/src/main/java/org/mustardlane/standin/target/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The fakes of targets: model engines and plain services.
+ */
+@NullMarked
+package org.mustardlane.standin.target;
+
+import org.jspecify.annotations.NullMarked;
