--- a/mustardlane-standin/src/main/java/org/mustardlane/standin/StandinMain.java
+++ b/mustardlane-standin/src/main/java/org/mustardlane/standin/StandinMain.java
@@ -12,6 +12,7 @@
 import org.mustardlane.standin.http.HttpServer;
 import org.mustardlane.standin.platform.Platform;
 import org.mustardlane.standin.platform.PlatformSettings;
+import org.mustardlane.standin.platform.PlatformView;
 import org.mustardlane.standin.target.Engine;
 import org.mustardlane.standin.target.Service;
 import org.mustardlane.standin.target.TargetSettings;
@@ -41,6 +42,7 @@
 	 * @param args platform, engine, engines, service or services, and flags
 	 */
 	public static void main(String[] args) {
+		System.setProperty("log4j2.configurationFile", "log4j2-standin.properties");
 		try {
 			String kind = (args.length > 0) ? args[0] : "";
 			String[] rest = Arrays.copyOfRange(args, Math.min(1, args.length), args.length);
@@ -57,7 +59,7 @@
 		for (String name : new String[] { "host", "port", "name", "count", "slots", "seed", "load-lag-millis",
 				"checks-fencing", "service-millis", "token-millis", "batch-percent", "prefill-bytes-per-milli",
 				"cache-bytes", "event-lag-millis", "event-gap-percent", "default-tokens", "appends-per-second",
-				"retention-millis" }) {
+				"retention-millis", "views" }) {
 			options.addOption(Option.builder().longOpt(name).hasArg().get());
 		}
 		return options;
@@ -76,7 +78,11 @@
 		HttpServer server = new HttpServer();
 		PlatformSettings settings = new PlatformSettings((int) number("appends-per-second", 500),
 				(long) number("retention-millis", HOUR_MILLIS));
-		announce(server.listen(host(), port(0), new Platform(server.loop(), settings)));
+		Platform platform = new Platform(settings);
+		int views = (int) number("views", 1);
+		for (int index = 0; index < views; index++) {
+			announce(server.listen(host(), port(index), new PlatformView(server.loop(), platform)));
+		}
 	}
 
 	private void startTargets(boolean engines) {
