--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/Caller.java
@@ -0,0 +1,170 @@
+package org.mustardlane.proof.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.RequestBuilder;
+
+import org.mustardlane.proof.fleet.CatalogueYaml;
+
+/**
+ * Calls routers as old devices do, without retries, and records what arrives.
+ */
+public final class Caller implements AutoCloseable {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(120);
+
+	private final AsyncHttpClient client = Dsl
+		.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder().setMaxRequestRetry(0)
+			.setRequestTimeout(TIMEOUT)
+			.setReadTimeout(TIMEOUT)
+			.setConnectTimeout(TIMEOUT)
+			.setMaxConnections(-1)
+			.setIoThreadsCount(2));
+
+	/**
+	 * Sends a request to a router.
+	 * @param routerUrl the router
+	 * @param request the request
+	 * @return what will have arrived
+	 */
+	public CompletableFuture<CallResult> call(String routerUrl, CallRequest request) {
+		return call(routerUrl, request, (bytes) -> {
+		});
+	}
+
+	/**
+	 * Sends a request to a router and watches its answer.
+	 * @param routerUrl the router
+	 * @param request the request
+	 * @param progress is told after each part how many bytes have arrived
+	 * @return what will have arrived
+	 */
+	public CompletableFuture<CallResult> call(String routerUrl, CallRequest request, IntConsumer progress) {
+		RequestBuilder builder = Dsl.post(routerUrl + "/v1/" + request.entry())
+			.setBody(request.body())
+			.setHeader("X-Organisation", request.organisation())
+			.setHeader("X-Organisation-Key", CatalogueYaml.keyOf(request.organisation()));
+		request.chatId().ifPresent((chat) -> builder.setHeader("X-Chat-Id", chat));
+		request.idempotencyKey().ifPresent((key) -> builder.setHeader("Idempotency-Key", key));
+		request.timeoutMillis().ifPresent((millis) -> builder.setHeader("X-Timeout-Millis", millis.toString()));
+		return execute(builder, progress);
+	}
+
+	/**
+	 * Sends a request to an engine without a router between.
+	 * @param engineUrl the engine
+	 * @param request the request
+	 * @param requestId names the request
+	 * @return what will have arrived
+	 */
+	public CompletableFuture<CallResult> callEngine(String engineUrl, CallRequest request, String requestId) {
+		RequestBuilder builder = Dsl.post(engineUrl + "/v1/" + request.entry())
+			.setBody(request.body())
+			.setHeader("X-Request-Id", requestId);
+		request.chatId().ifPresent((chat) -> builder.setHeader("X-Chat-Id", chat));
+		return execute(builder, (bytes) -> {
+		});
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.client.close();
+		}
+		catch (IOException ex) {
+			// Nothing is lost with the connections of an ending harness.
+		}
+	}
+
+	private CompletableFuture<CallResult> execute(RequestBuilder builder, IntConsumer progress) {
+		Recorder recorder = new Recorder(progress);
+		this.client.executeRequest(builder.build(), recorder);
+		return recorder.result;
+	}
+
+	/**
+	 * Records one answer.
+	 */
+	private static final class Recorder implements AsyncHandler<Void> {
+
+		private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+
+		private final IntConsumer progress;
+
+		private final long sentAtNanos = System.nanoTime();
+
+		private final Map<String, String> headers = new TreeMap<>();
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		private long firstByteAtNanos;
+
+		Recorder(IntConsumer progress) {
+			this.progress = progress;
+		}
+
+		@Override
+		public State onStatusReceived(HttpResponseStatus received) {
+			this.status = received.getStatusCode();
+			return State.CONTINUE;
+		}
+
+		@Override
+		public State onHeadersReceived(HttpHeaders received) {
+			received.forEach((field) -> this.headers.put(field.getKey().toLowerCase(Locale.ROOT), field.getValue()));
+			return State.CONTINUE;
+		}
+
+		@Override
+		public State onTrailingHeadersReceived(HttpHeaders received) {
+			return onHeadersReceived(received);
+		}
+
+		@Override
+		public State onBodyPartReceived(HttpResponseBodyPart part) {
+			if (part.length() > 0) {
+				if (this.firstByteAtNanos == 0) {
+					this.firstByteAtNanos = System.nanoTime();
+				}
+				this.body.writeBytes(part.getBodyPartBytes());
+				this.progress.accept(this.body.size());
+			}
+			return State.CONTINUE;
+		}
+
+		@Override
+		public void onThrowable(Throwable error) {
+			complete(Optional.of(error.toString()));
+		}
+
+		@Override
+		public Void onCompleted() {
+			complete(Optional.empty());
+			return null;
+		}
+
+		private void complete(Optional<String> error) {
+			this.result.complete(new CallResult(this.status, this.headers, this.body.toByteArray(), error,
+					this.sentAtNanos, this.firstByteAtNanos, System.nanoTime()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/CatalogueYaml.java
@@ -0,0 +1,92 @@
+package org.mustardlane.proof.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.standin.target.AnswerText;
+
+/**
+ * Writes the catalogue of the harness.
+ */
+public final class CatalogueYaml {
+
+	/**
+	 * An organisation that may call.
+	 */
+	public static final String ORGANISATION = "harrow";
+
+	/**
+	 * Further organisations that may call.
+	 */
+	private static final String[] OTHER_ORGANISATIONS = { "pell", "alliance", "sorting", "buyers", "insurer" };
+
+	private static final String KEY_SUFFIX = "-key";
+
+	private CatalogueYaml() {
+	}
+
+	/**
+	 * Returns the key of an organisation.
+	 * @param organisation the organisation
+	 * @return the key
+	 */
+	public static String keyOf(String organisation) {
+		return organisation + KEY_SUFFIX;
+	}
+
+	/**
+	 * Writes organisations, targets and entries.
+	 * @param targets the targets
+	 * @param slots requests that an engine runs at once
+	 * @return the change
+	 */
+	public static String whole(Collection<TargetHandle> targets, int slots) {
+		StringBuilder yaml = new StringBuilder("organisations:\n");
+		organisation(yaml, ORGANISATION);
+		for (String other : OTHER_ORGANISATIONS) {
+			organisation(yaml, other);
+		}
+		yaml.append("targets:\n");
+		targets.forEach((target) -> yaml.append(target(target, slots)));
+		yaml.append("entries:\n");
+		yaml.append(entry("chat", "INTERACTIVE", "models", true, true, 60_000, 150, 0));
+		yaml.append(entry("summary", "BULK", "models", true, true, 120_000, 5_000, 0));
+		yaml.append(entry("triage", "URGENT", "models", true, true, 60_000, 60, 0));
+		yaml.append(entry("record", "INTERACTIVE", "models", false, true, 60_000, 150, 0));
+		yaml.append(entry("release", "URGENT", "desk", false, false, 60_000, 20, 0));
+		yaml.append(entry("status", "INTERACTIVE", "desk", true, false, 60_000, 20, 0));
+		return yaml.toString();
+	}
+
+	/**
+	 * Writes a change of one entry.
+	 * @param name the entry
+	 * @param answerLimitMillis its new limit
+	 * @param base the revision that the change is made against
+	 * @return the change
+	 */
+	public static String statusEntry(String name, int answerLimitMillis, long base) {
+		return "entries:\n" + entry(name, "INTERACTIVE", "desk", true, false, answerLimitMillis, 20, base);
+	}
+
+	private static void organisation(StringBuilder yaml, String name) {
+		String digest = AnswerText.digest(keyOf(name).getBytes(StandardCharsets.UTF_8));
+		yaml.append("- {id: %s, keyDigest: \"%s\", concurrencyLimit: 10000, weight: 1}%n".formatted(name, digest));
+	}
+
+	private static String target(TargetHandle target, int slots) {
+		String pool = (target.kind() == TargetKind.ENGINE) ? "models" : "desk";
+		return "- {id: %s, pool: %s, kind: %s, domain: %s, host: 127.0.0.1, port: %d, slots: %d, checksFencing: true}%n"
+			.formatted(target.name(), pool, target.kind(), target.domain(), target.routedPort(), slots);
+	}
+
+	private static String entry(String name, String serviceClass, String pool, boolean idempotent, boolean streaming,
+			int answerLimitMillis, int workMillis, long base) {
+		return ("- {name: %s, owner: %s, serviceClass: %s, pool: %s, idempotent: %s, streaming: %s, path: /v1/%s, "
+				+ "bodyLimitBytes: 1048576, answerLimitMillis: %d, expectedWorkMillis: %d, loadBoundPercent: 125%s}%n")
+			.formatted(name, ORGANISATION, serviceClass, pool, idempotent, streaming, name, answerLimitMillis,
+					workMillis, (base > 0) ? ", base: " + base : "");
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -0,0 +1,397 @@
+package org.mustardlane.proof.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.protocol.PublishAnswer;
+
+/**
+ * A fleet of separate processes on one machine: platform, targets and routers.
+ *
+ * <p>
+ * Everything it started is ended by {@link #close()}, also when the harness is
+ * interrupted.
+ */
+public final class Fleet implements AutoCloseable {
+
+	private static final int STANDIN_HEAP_MEBIBYTES = 512;
+
+	private static final int ROUTER_HEAP_MEBIBYTES = 256;
+
+	private static final String STANDIN = "org.mustardlane.standin.StandinMain";
+
+	private static final String ROUTER = "org.mustardlane.router.RouterMain";
+
+	private static final int WAIT_SECONDS = 60;
+
+	private static final int POLL_MILLIS = 50;
+
+	private final FleetSettings settings;
+
+	private final Path logDirectory;
+
+	private final ControlClient control = new ControlClient();
+
+	private final List<ManagedProcess> processes = Collections.synchronizedList(new ArrayList<>());
+
+	private final TargetGroup targets;
+
+	private final PlatformHandle platform;
+
+	private final Map<String, RouterHandle> routers = Collections.synchronizedMap(new LinkedHashMap<>());
+
+	private final Set<String> leaving = new TreeSet<>();
+
+	private final VmRows vmRows;
+
+	private final Thread stopper = new Thread(this::stopProcesses, "fleet-stopper");
+
+	private Fleet(FleetSettings settings, Path logDirectory) throws FleetException {
+		this.settings = settings;
+		this.logDirectory = logDirectory;
+		this.vmRows = new VmRows(settings.domains());
+		this.targets = new TargetGroup(this.control, settings.forwardTargets());
+		Runtime.getRuntime().addShutdownHook(this.stopper);
+		try {
+			this.platform = new PlatformHandle(this.control, settings.domains(), startPlatform());
+			this.targets.add(TargetKind.ENGINE, startEngines(), settings);
+			this.targets.add(TargetKind.SERVICE, startServices(), settings);
+		}
+		catch (FleetException ex) {
+			stopProcesses();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Starts platform and targets, but no router.
+	 * @param settings what the fleet consists of
+	 * @return the fleet
+	 * @throws FleetException if a process does not start
+	 */
+	public static Fleet startWithoutRouters(FleetSettings settings) throws FleetException {
+		return new Fleet(settings, newLogDirectory());
+	}
+
+	/**
+	 * Starts everything, publishes the catalogue and waits until all routers know it.
+	 * @param settings what the fleet consists of
+	 * @return the fleet
+	 * @throws FleetException if a process does not start or the catalogue is not accepted
+	 */
+	public static Fleet start(FleetSettings settings) throws FleetException {
+		Fleet fleet = startWithoutRouters(settings);
+		try {
+			fleet.startRouters();
+			fleet.awaitRevision(fleet.publish(fleet.catalogue()).getRevision());
+			return fleet;
+		}
+		catch (FleetException ex) {
+			fleet.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Starts as many routers as the settings say, all at once.
+	 * @throws FleetException if one does not start
+	 */
+	public void startRouters() throws FleetException {
+		Map<String, ManagedProcess> starting = new LinkedHashMap<>();
+		for (int index = 0; index < this.settings.routers(); index++) {
+			String vm = "vm-" + (index + 1);
+			starting.put(vm, launchRouter(vm, this.settings.domain(index)));
+		}
+		int index = 0;
+		for (Map.Entry<String, ManagedProcess> entry : starting.entrySet()) {
+			register(entry.getKey(), this.settings.domain(index++), entry.getValue());
+		}
+		listVms();
+	}
+
+	/**
+	 * Starts one router and lists it.
+	 * @param vm the name of its VM
+	 * @param domain its failure domain
+	 * @return the router
+	 * @throws FleetException if it does not start
+	 */
+	public RouterHandle startRouter(String vm, String domain) throws FleetException {
+		RouterHandle router = register(vm, domain, launchRouter(vm, domain));
+		listVms();
+		return router;
+	}
+
+	/**
+	 * Ends a router at once and leaves it in the list of VMs.
+	 * @param vm the name of its VM
+	 */
+	public void killRouter(String vm) {
+		router(vm).process().destroy();
+	}
+
+	/**
+	 * Starts a router anew under the name of one that has ended.
+	 * @param vm the name of its VM
+	 * @return the router
+	 * @throws FleetException if it does not start
+	 */
+	public RouterHandle restartRouter(String vm) throws FleetException {
+		return startRouter(vm, router(vm).domain());
+	}
+
+	/**
+	 * Publishes a change through the first router that answers.
+	 * @param yaml the change
+	 * @return the answer, which is ACCEPTED
+	 * @throws FleetException if it is not accepted
+	 */
+	public PublishAnswer publish(String yaml) throws FleetException {
+		String changeId = UUID.randomUUID().toString();
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		String last = "no router runs";
+		while (System.nanoTime() < deadlineNanos) {
+			for (RouterHandle router : liveRouters()) {
+				try (OperatorClient client = new OperatorClient(router.operatorPort())) {
+					PublishAnswer answer = client.publish(changeId, yaml);
+					if (answer.getVerdict() == PublishAnswer.Verdict.ACCEPTED) {
+						return answer;
+					}
+					last = answer.toString();
+				}
+				catch (FleetException ex) {
+					last = ex.getMessage() + ": " + ex.getCause();
+				}
+			}
+			pause();
+		}
+		throw new FleetException("catalogue change is not accepted: " + last);
+	}
+
+	/**
+	 * Waits until all routers that run have a revision of the catalogue.
+	 * @param revision the revision
+	 * @throws FleetException if one does not get it
+	 */
+	public void awaitRevision(long revision) throws FleetException {
+		for (RouterHandle router : liveRouters()) {
+			awaitRevision(router, revision);
+		}
+	}
+
+	/**
+	 * Waits until a router has a revision of the catalogue.
+	 * @param router the router
+	 * @param revision the revision
+	 * @throws FleetException if it does not get it
+	 */
+	public void awaitRevision(RouterHandle router, long revision) throws FleetException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		try (OperatorClient client = new OperatorClient(router.operatorPort())) {
+			while (client.status().getCatalogueRevision() < revision) {
+				if (System.nanoTime() > deadlineNanos) {
+					throw new FleetException(router.vm() + " stays below revision " + revision);
+				}
+				pause();
+			}
+		}
+	}
+
+	/**
+	 * Returns the catalogue of this fleet.
+	 * @return the change that publishes it
+	 */
+	public String catalogue() {
+		return CatalogueYaml.whole(this.targets.all(), this.settings.engineSlots());
+	}
+
+	/**
+	 * Cuts or joins the links between two failure domains.
+	 * @param one the one
+	 * @param other the other
+	 * @param state what becomes of connections
+	 */
+	public void link(String one, String other, LinkState state) {
+		this.vmRows.set(one, other, state, List.copyOf(this.routers.values()));
+	}
+
+	/**
+	 * Lists a VM as leaving or live.
+	 * @param vm its name
+	 * @param isLeaving whether it leaves
+	 * @throws FleetException if the platform does not take the list
+	 */
+	public void listAsLeaving(String vm, boolean isLeaving) throws FleetException {
+		if (isLeaving) {
+			this.leaving.add(vm);
+		}
+		else {
+			this.leaving.remove(vm);
+		}
+		listVms();
+	}
+
+	/**
+	 * Returns a router.
+	 * @param vm the name of its VM
+	 * @return the router that was last started under that name
+	 */
+	public RouterHandle router(String vm) {
+		return this.routers.get(vm);
+	}
+
+	/**
+	 * Returns the routers that run.
+	 * @return the routers
+	 */
+	public List<RouterHandle> liveRouters() {
+		return List.copyOf(this.routers.values()).stream().filter((router) -> router.process().isAlive()).toList();
+	}
+
+	/**
+	 * Returns the targets.
+	 * @return the targets
+	 */
+	public TargetGroup targets() {
+		return this.targets;
+	}
+
+	/**
+	 * Returns the platform.
+	 * @return the platform
+	 */
+	public PlatformHandle platform() {
+		return this.platform;
+	}
+
+	/**
+	 * Returns the client for stand-ins.
+	 * @return the client
+	 */
+	public ControlClient control() {
+		return this.control;
+	}
+
+	/**
+	 * Returns how many bytes have passed between the failure domains.
+	 * @return the number
+	 */
+	public long bytesBetweenDomains() {
+		return this.vmRows.passedBytes();
+	}
+
+	/**
+	 * Returns where the logs of the processes are.
+	 * @return the directory
+	 */
+	public Path logDirectory() {
+		return this.logDirectory;
+	}
+
+	@Override
+	public void close() {
+		stopProcesses();
+		this.vmRows.close();
+		this.targets.close();
+		this.control.close();
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.stopper);
+		}
+		catch (IllegalStateException ex) {
+			// The harness is ending already, and the hook runs.
+		}
+	}
+
+	private List<JsonNode> startPlatform() throws FleetException {
+		int views = this.settings.domains().size();
+		return startStandin("platform", views, List.of("--views", Integer.toString(views)),
+				this.settings.platformFlags());
+	}
+
+	private List<JsonNode> startEngines() throws FleetException {
+		int count = this.settings.engines();
+		return startStandin("engines", count,
+				List.of("--count", Integer.toString(count), "--slots", Integer.toString(this.settings.engineSlots())),
+				this.settings.engineFlags());
+	}
+
+	private List<JsonNode> startServices() throws FleetException {
+		int count = this.settings.services();
+		return startStandin("services", count,
+				List.of("--count", Integer.toString(count), "--slots", Integer.toString(this.settings.engineSlots())),
+				this.settings.serviceFlags());
+	}
+
+	private List<JsonNode> startStandin(String command, int lines, List<String> flags, List<String> furtherFlags)
+			throws FleetException {
+		List<String> args = new ArrayList<>(List.of(command));
+		args.addAll(flags);
+		args.addAll(furtherFlags);
+		return launch(command, JavaCommand.of(STANDIN_HEAP_MEBIBYTES, STANDIN, args)).awaitListening(lines);
+	}
+
+	private ManagedProcess launchRouter(String vm, String domain) throws FleetException {
+		List<String> args = new ArrayList<>(
+				List.of("--vm", vm, "--domain", domain, "--host", "127.0.0.1", "--caller-port", "0", "--peer-port", "0",
+						"--operator-port", "0", "--metrics-port", "0", "--platform-url", this.platform.url(domain)));
+		args.addAll(this.settings.routerFlags());
+		return launch(vm, JavaCommand.of(ROUTER_HEAP_MEBIBYTES, ROUTER, args));
+	}
+
+	private RouterHandle register(String vm, String domain, ManagedProcess process) throws FleetException {
+		JsonNode line = process.awaitListening(1).get(0);
+		RouterHandle router = new RouterHandle(vm, domain, process, line.path("callerPort").asInt(),
+				line.path("peerPort").asInt(), line.path("operatorPort").asInt(), line.path("metricsPort").asInt());
+		this.routers.put(vm, router);
+		this.vmRows.link(router);
+		return router;
+	}
+
+	private ManagedProcess launch(String name, List<String> command) throws FleetException {
+		ManagedProcess process = ManagedProcess.start(name, command, this.logDirectory.resolve(name + ".log"));
+		this.processes.add(process);
+		return process;
+	}
+
+	private void listVms() throws FleetException {
+		this.platform.list(this.vmRows, List.copyOf(this.routers.values()), this.targets.all(), this.leaving);
+	}
+
+	private void stopProcesses() {
+		List<ManagedProcess> started = List.copyOf(this.processes);
+		started.forEach(ManagedProcess::destroy);
+	}
+
+	private static void pause() throws FleetException {
+		try {
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new FleetException("interrupted", ex);
+		}
+	}
+
+	private static Path newLogDirectory() throws FleetException {
+		try {
+			return Files.createTempDirectory("mustardlane-");
+		}
+		catch (IOException ex) {
+			throw new FleetException("no directory for logs", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
@@ -0,0 +1,187 @@
+package org.mustardlane.proof.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * Passes TCP connections on to one port and can cut, silence or slow them.
+ */
+public final class Forwarder implements AutoCloseable {
+
+	private static final EventLoopGroup GROUP = new MultiThreadIoEventLoopGroup(2, (task) -> {
+		Thread thread = new Thread(task, "forwarder");
+		thread.setDaemon(true);
+		return thread;
+	}, NioIoHandler.newFactory());
+
+	private final int targetPort;
+
+	private final Channel server;
+
+	private final Set<Channel> links = ConcurrentHashMap.newKeySet();
+
+	private final AtomicLong passedBytes = new AtomicLong();
+
+	private volatile LinkState state = LinkState.OPEN;
+
+	private volatile int delayMillis;
+
+	/**
+	 * Begins to pass connections on.
+	 * @param targetPort where they go
+	 */
+	public Forwarder(int targetPort) {
+		this.targetPort = targetPort;
+		this.server = new ServerBootstrap().group(GROUP)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.AUTO_READ, false)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel near) {
+					accept(near);
+				}
+			})
+			.bind("127.0.0.1", 0)
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	/**
+	 * Returns the port that it listens on.
+	 * @return the port
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.server.localAddress()).getPort();
+	}
+
+	/**
+	 * Returns how many bytes it has passed on, both ways together.
+	 * @return the number
+	 */
+	public long passedBytes() {
+		return this.passedBytes.get();
+	}
+
+	/**
+	 * Sets what becomes of connections.
+	 * @param wanted the state
+	 */
+	public void set(LinkState wanted) {
+		this.state = wanted;
+		if (wanted == LinkState.RESET) {
+			this.links.forEach(Forwarder::reset);
+		}
+		if (wanted == LinkState.OPEN) {
+			this.links.forEach(Channel::read);
+		}
+	}
+
+	/**
+	 * Sets by how much each piece is late.
+	 * @param millis the delay
+	 */
+	public void delay(int millis) {
+		this.delayMillis = millis;
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+		this.links.forEach(Channel::close);
+	}
+
+	private void accept(SocketChannel near) {
+		if (this.state == LinkState.RESET) {
+			reset(near);
+			return;
+		}
+		Bootstrap bootstrap = new Bootstrap().group(near.eventLoop())
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.AUTO_READ, false)
+			.handler(new Pipe(near));
+		Channel far = bootstrap.connect("127.0.0.1", this.targetPort).addListener((connected) -> {
+			if (connected.isSuccess()) {
+				near.read();
+			}
+			else {
+				reset(near);
+			}
+		}).channel();
+		near.pipeline().addLast(new Pipe(far));
+	}
+
+	private static void reset(Channel channel) {
+		channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		channel.close();
+	}
+
+	/**
+	 * Passes what it reads on to the other side.
+	 */
+	private final class Pipe extends ChannelInboundHandlerAdapter {
+
+		private final Channel other;
+
+		Pipe(Channel other) {
+			this.other = other;
+		}
+
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			Forwarder.this.links.add(context.channel());
+			context.read();
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			Forwarder.this.passedBytes.addAndGet(((ByteBuf) message).readableBytes());
+			int millis = Forwarder.this.delayMillis;
+			if (millis == 0) {
+				pass(context, message);
+				return;
+			}
+			context.executor().schedule(() -> pass(context, message), millis, TimeUnit.MILLISECONDS);
+		}
+
+		private void pass(ChannelHandlerContext context, Object message) {
+			this.other.writeAndFlush(message).addListener((written) -> {
+				if (Forwarder.this.state != LinkState.SILENT) {
+					context.read();
+				}
+			});
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			Forwarder.this.links.remove(context.channel());
+			this.other.close();
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/ManagedProcess.java
@@ -0,0 +1,179 @@
+package org.mustardlane.proof.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * A process that the harness has started.
+ */
+public final class ManagedProcess {
+
+	private static final String LISTENING = "LISTENING ";
+
+	private static final int START_SECONDS = 60;
+
+	private static final int END_SECONDS = 60;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final String name;
+
+	private final Process process;
+
+	private final Path logFile;
+
+	private final BlockingQueue<String> announcements = new LinkedBlockingQueue<>();
+
+	private ManagedProcess(String name, Process process, Path logFile) {
+		this.name = name;
+		this.process = process;
+		this.logFile = logFile;
+	}
+
+	/**
+	 * Starts a process.
+	 * @param name names it in messages
+	 * @param command the command line
+	 * @param logFile where its standard error goes
+	 * @return the process
+	 * @throws FleetException if it does not start
+	 */
+	public static ManagedProcess start(String name, List<String> command, Path logFile) throws FleetException {
+		try {
+			Process process = new ProcessBuilder(command)
+				.redirectError(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+				.start();
+			ManagedProcess managed = new ManagedProcess(name, process, logFile);
+			Thread reader = new Thread(managed::readOutput, name + "-output");
+			reader.setDaemon(true);
+			reader.start();
+			return managed;
+		}
+		catch (IOException ex) {
+			throw new FleetException(name + " does not start", ex);
+		}
+	}
+
+	/**
+	 * Waits until the process has said where it listens.
+	 * @param count how many lines it says
+	 * @return what the lines say
+	 * @throws FleetException if it does not say so
+	 */
+	public List<JsonNode> awaitListening(int count) throws FleetException {
+		List<JsonNode> lines = new ArrayList<>();
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS);
+		try {
+			while (lines.size() < count) {
+				String line = this.announcements.poll(100, TimeUnit.MILLISECONDS);
+				if (line != null) {
+					lines.add(MAPPER.readTree(line));
+				}
+				else if (!this.process.isAlive() || System.nanoTime() > deadlineNanos) {
+					throw new FleetException(this.name + " does not listen, see " + this.logFile);
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new FleetException("interrupted", ex);
+		}
+		catch (IOException ex) {
+			throw new FleetException(this.name + " says a malformed line", ex);
+		}
+		return lines;
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the id that the operating system gave.
+	 * @return the id
+	 */
+	public long pid() {
+		return this.process.pid();
+	}
+
+	/**
+	 * Returns whether the process runs.
+	 * @return whether it does
+	 */
+	public boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	/**
+	 * Sends a signal.
+	 * @param signal the signal
+	 * @throws FleetException if it can not be sent
+	 */
+	public void signal(Signal signal) throws FleetException {
+		try {
+			Process kill = new ProcessBuilder("kill", "-" + signal.name(), Long.toString(pid())).inheritIO().start();
+			kill.waitFor(START_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (IOException ex) {
+			throw new FleetException("no kill command", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new FleetException("interrupted", ex);
+		}
+	}
+
+	/**
+	 * Waits for the end of the process.
+	 * @return whether it has ended
+	 */
+	public boolean awaitEnd() {
+		try {
+			return this.process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	/**
+	 * Ends the process at once and waits for it.
+	 */
+	public void destroy() {
+		this.process.destroyForcibly();
+		awaitEnd();
+	}
+
+	private void readOutput() {
+		try (BufferedReader reader = new BufferedReader(
+				new InputStreamReader(this.process.getInputStream(), StandardCharsets.UTF_8))) {
+			String line = reader.readLine();
+			while (line != null) {
+				if (line.startsWith(LISTENING)) {
+					this.announcements.add(line.substring(LISTENING.length()));
+				}
+				line = reader.readLine();
+			}
+		}
+		catch (IOException ex) {
+			// The process has ended, which awaitListening reports.
+		}
+	}
+
+}
