--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -176,7 +176,7 @@
 					last = ex.getMessage() + ": " + ex.getCause();
 				}
 			}
-			pause();
+			Waiting.pause(POLL_MILLIS);
 		}
 		throw new FleetException("catalogue change is not accepted: " + last);
 	}
@@ -199,14 +199,9 @@
 	 * @throws FleetException if it does not get it
 	 */
 	public void awaitRevision(RouterHandle router, long revision) throws FleetException {
-		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
 		try (OperatorClient client = new OperatorClient(router.operatorPort())) {
-			while (client.status().getCatalogueRevision() < revision) {
-				if (System.nanoTime() > deadlineNanos) {
-					throw new FleetException(router.vm() + " stays below revision " + revision);
-				}
-				pause();
-			}
+			Waiting.until(router.vm() + " has revision " + revision,
+					() -> client.status().getCatalogueRevision() >= revision);
 		}
 	}
 
@@ -375,16 +370,6 @@
 		started.forEach(ManagedProcess::destroy);
 	}
 
-	private static void pause() throws FleetException {
-		try {
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new FleetException("interrupted", ex);
-		}
-	}
-
 	private static Path newLogDirectory() throws FleetException {
 		try {
 			return Files.createTempDirectory("mustardlane-");
