--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
@@ -33,8 +33,7 @@
 	 * @return whether it did
 	 */
 	public boolean isAnswered() {
-		return this.status == OK && this.error.isEmpty()
-				&& !header("x-outcome").filter((outcome) -> !outcome.equals("answered")).isPresent();
+		return this.status == OK && this.error.isEmpty() && header("x-outcome").filter("answered"::equals).isPresent();
 	}
 
 	/**
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/OutcomeChecker.java
@@ -0,0 +1,110 @@
+package org.mustardlane.proof.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.mustardlane.standin.target.JournalRow;
+
+/**
+ * Compares what callers got with what targets recorded.
+ */
+public final class OutcomeChecker {
+
+	private static final Set<String> STREAMED_ENTRIES = Set.of("chat", "summary", "triage", "record");
+
+	private static final Set<String> NON_IDEMPOTENT_PATHS = Set.of("/v1/release", "/v1/record");
+
+	private final Collection<RecordedCall> calls;
+
+	private final List<JournalRow> journal;
+
+	private final List<String> violations = new ArrayList<>();
+
+	private OutcomeChecker(Collection<RecordedCall> calls, List<JournalRow> journal) {
+		this.calls = calls;
+		this.journal = journal;
+	}
+
+	/**
+	 * Looks for broken promises.
+	 * @param calls the calls, all ended
+	 * @param journal what all targets recorded
+	 * @return the broken promises in words
+	 */
+	public static List<String> check(Collection<RecordedCall> calls, List<JournalRow> journal) {
+		OutcomeChecker checker = new OutcomeChecker(calls, journal);
+		checker.checkAtMostOnce();
+		checker.checkRefusals();
+		checker.calls.forEach(checker::checkAnswer);
+		return List.copyOf(checker.violations);
+	}
+
+	private void checkAtMostOnce() {
+		Map<String, List<JournalRow>> executions = this.journal.stream()
+			.filter((row) -> NON_IDEMPOTENT_PATHS.contains(row.path()))
+			.collect(Collectors.groupingBy((row) -> row.path() + " " + row.idempotencyKey()));
+		executions.forEach((key, rows) -> {
+			if (rows.size() > 1) {
+				this.violations.add("executed %d times: %s %s".formatted(rows.size(), key, rows));
+			}
+		});
+	}
+
+	private void checkRefusals() {
+		Set<String> executed = this.journal.stream().map(JournalRow::bodyDigest).collect(Collectors.toSet());
+		Set<String> perhapsRun = new HashSet<>();
+		for (RecordedCall call : this.calls) {
+			if (!result(call).isNotRun()) {
+				perhapsRun.add(call.bodyDigest());
+			}
+		}
+		for (RecordedCall call : this.calls) {
+			CallResult result = result(call);
+			if (result.isNotRun() && result.header("retry-after").isEmpty()) {
+				this.violations.add(call.name() + ": a refusal without Retry-After: " + result.summary());
+			}
+			if (result.isNotRun() && executed.contains(call.bodyDigest()) && !perhapsRun.contains(call.bodyDigest())) {
+				this.violations
+					.add(call.name() + ": was told not-run and a target has started it: " + result.summary());
+			}
+		}
+	}
+
+	private void checkAnswer(RecordedCall call) {
+		CallResult result = result(call);
+		if (result.isAnswered()) {
+			String verdict = verdict(call, result);
+			if (!verdict.equals(AnswerVerdict.WHOLE.name())) {
+				this.violations.add(call.name() + ": the answer is " + verdict + ": " + result.text());
+			}
+		}
+		else if (result.status() != 0 && result.error().isEmpty() && result.header("x-outcome").isEmpty()) {
+			this.violations.add(call.name() + ": no outcome is given: " + result.summary());
+		}
+		else if (result.status() == 200 && STREAMED_ENTRIES.contains(call.request().entry())
+				&& verdict(call, result).equals(AnswerVerdict.FOREIGN.name())) {
+			this.violations.add(call.name() + ": the broken answer holds foreign bytes: " + result.text());
+		}
+	}
+
+	private static String verdict(RecordedCall call, CallResult result) {
+		if (STREAMED_ENTRIES.contains(call.request().entry())) {
+			return AnswerChecker.check(call.request().body(), call.tokens(), result.body()).name();
+		}
+		String text = new String(result.body(), StandardCharsets.UTF_8);
+		boolean isOwn = text.startsWith("{") && text.endsWith("}") && text.contains(call.bodyDigest())
+				&& text.contains("\"key\":\"" + call.request().idempotencyKey().orElse("") + "\"");
+		return (isOwn ? AnswerVerdict.WHOLE : AnswerVerdict.FOREIGN).name();
+	}
+
+	private static CallResult result(RecordedCall call) {
+		return call.ended().orElseThrow(() -> new IllegalArgumentException(call.name() + " has not ended"));
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/ScenarioTests.java
@@ -0,0 +1,13 @@
+package org.mustardlane.proof.scenario;
+
+import io.cucumber.testng.AbstractTestNGCucumberTests;
+import io.cucumber.testng.CucumberOptions;
+
+/**
+ * Runs the scenarios over real processes; {@code bin/test} runs those tagged {@code @ci}.
+ */
+@CucumberOptions(features = "classpath:features", glue = "org.mustardlane.proof.scenario", tags = "@ci",
+		plugin = "summary")
+public class ScenarioTests extends AbstractTestNGCucumberTests {
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/World.java
@@ -0,0 +1,107 @@
+package org.mustardlane.proof.scenario;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.cucumber.java.After;
+import io.cucumber.java.Scenario;
+
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.proof.caller.CallRequest;
+import org.mustardlane.proof.caller.CallResult;
+import org.mustardlane.proof.caller.Caller;
+import org.mustardlane.proof.caller.OutcomeChecker;
+import org.mustardlane.proof.caller.RecordedCall;
+import org.mustardlane.proof.fleet.Fleet;
+import org.mustardlane.proof.fleet.FleetException;
+import org.mustardlane.proof.fleet.FleetSettings;
+import org.mustardlane.proof.fleet.Waiting;
+import org.mustardlane.standin.target.JournalRow;
+
+/**
+ * The fleet and the calls of one scenario.
+ */
+public final class World {
+
+	private final Caller caller = new Caller();
+
+	private final Map<String, RecordedCall> calls = new LinkedHashMap<>();
+
+	private final Map<String, RecordedCall> targetCalls = new LinkedHashMap<>();
+
+	private Optional<Fleet> fleet = Optional.empty();
+
+	void start(FleetSettings settings, boolean withRouters) throws FleetException {
+		this.fleet = Optional.of(withRouters ? Fleet.start(settings) : Fleet.startWithoutRouters(settings));
+	}
+
+	Fleet fleet() {
+		return this.fleet.orElseThrow();
+	}
+
+	void call(String name, String vm, CallRequest request, int tokens) {
+		String url = fleet().router(vm).url();
+		this.calls.put(name, RecordedCall.begin(name, this.caller, url, request, tokens));
+	}
+
+	void callTarget(String name, String target, CallRequest request, int tokens) {
+		String url = fleet().targets().get(target).url();
+		this.targetCalls.put(name, RecordedCall.begin(name, this.caller, url, request, tokens));
+	}
+
+	RecordedCall recorded(String name) {
+		return this.calls.getOrDefault(name, this.targetCalls.get(name));
+	}
+
+	List<RecordedCall> recordedWithPrefix(String prefix) {
+		return this.calls.values().stream().filter((call) -> call.name().startsWith(prefix)).toList();
+	}
+
+	CallResult result(String name) throws FleetException {
+		return Waiting.get(name, recorded(name).result());
+	}
+
+	List<JournalRow> journal() throws FleetException {
+		List<JournalRow> rows = new ArrayList<>(fleet().targets().journals(TargetKind.SERVICE));
+		rows.addAll(fleet().targets().journals(TargetKind.ENGINE));
+		return rows;
+	}
+
+	/**
+	 * Checks what must always hold and stops the fleet.
+	 * @param scenario the scenario that ends
+	 * @throws FleetException if something does not hold
+	 */
+	@After
+	public void checkAndStop(Scenario scenario) throws FleetException {
+		try {
+			if (this.fleet.isPresent() && !scenario.isFailed()) {
+				checkOutcomes(scenario);
+			}
+		}
+		finally {
+			this.caller.close();
+			this.fleet.ifPresent((started) -> {
+				scenario.log("logs: " + started.logDirectory());
+				started.close();
+			});
+		}
+	}
+
+	private void checkOutcomes(Scenario scenario) throws FleetException {
+		for (RecordedCall call : this.calls.values()) {
+			CallResult result = Waiting.get(call.name(), call.result());
+			if (this.calls.size() < 20) {
+				scenario.log(call.name() + ": " + result.summary());
+			}
+		}
+		List<String> violations = OutcomeChecker.check(this.calls.values(), journal());
+		if (!violations.isEmpty()) {
+			throw new FleetException(String.join("\n", violations));
+		}
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The steps of the scenarios.
+ */
+@NullMarked
+package org.mustardlane.proof.scenario;
+
+import org.jspecify.annotations.NullMarked;
