Carry a request through claim, grant, attempts and answer; know which routers live

Cause: the facade was empty. Change: RequestFlow (one state of each attempt decides between not run and unknown), membership by heartbeats, Node that passes events between handlers without nested locks.

--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/Actions.java
@@ -0,0 +1,25 @@
+package org.mustardlane.core.execution;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.mustardlane.core.event.NodeAction;
+
+/**
+ * Joins lists of actions.
+ */
+final class Actions {
+
+	private Actions() {
+	}
+
+	@SafeVarargs
+	static List<NodeAction> concat(List<? extends NodeAction>... parts) {
+		List<NodeAction> all = new ArrayList<>();
+		for (List<? extends NodeAction> part : parts) {
+			all.addAll(part);
+		}
+		return all;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/Attempt.java
@@ -0,0 +1,257 @@
+package org.mustardlane.core.execution;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.mustardlane.core.event.CancelAttempt;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.StartAttempt;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantRelease;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.message.ReleaseCause;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.execution.AttemptKind;
+import org.mustardlane.core.model.target.AttemptTiming;
+
+/**
+ * One try to have a request answered by one target: first the grant, then the answer.
+ *
+ * <p>
+ * Not thread-safe: guarded by the lock of the request table.
+ */
+final class Attempt {
+
+	private static final long NONE = -1;
+
+	private final AcceptedRequest accepted;
+
+	private final int number;
+
+	private final AttemptKind kind;
+
+	private final String generationToResume;
+
+	private final long offsetBytes;
+
+	private final GrantSeeker seeker;
+
+	private Optional<Target> target = Optional.empty();
+
+	private long grantId;
+
+	private boolean handedOver;
+
+	private boolean ended;
+
+	private Optional<String> generationId = Optional.empty();
+
+	private long startedAtMillis = NONE;
+
+	private long firstTokenAtMillis = NONE;
+
+	private long lastTokenAtMillis = NONE;
+
+	private long worstGapMillis = NONE;
+
+	private long receivedBytes;
+
+	Attempt(AcceptedRequest accepted, int number, AttemptKind kind, String generationToResume, long offsetBytes,
+			GrantSeeker seeker) {
+		this.accepted = accepted;
+		this.number = number;
+		this.kind = kind;
+		this.generationToResume = generationToResume;
+		this.offsetBytes = offsetBytes;
+		this.seeker = seeker;
+	}
+
+	int number() {
+		return this.number;
+	}
+
+	GrantSeeker seeker() {
+		return this.seeker;
+	}
+
+	boolean isWaitingForGrant() {
+		return !this.ended && this.target.isEmpty();
+	}
+
+	boolean isRunning() {
+		return !this.ended && this.handedOver;
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Tells whether the target may have started the request.
+	 * @return true from the moment the attempt is handed to the adapter until the adapter
+	 * or the target says that nothing was started
+	 */
+	boolean mayHaveRun() {
+		return this.handedOver;
+	}
+
+	Optional<TargetId> targetId() {
+		return this.target.map(Target::id);
+	}
+
+	Optional<String> generationId() {
+		return this.generationId;
+	}
+
+	long deliveredBytes() {
+		return this.offsetBytes + this.receivedBytes;
+	}
+
+	boolean hasFirstToken() {
+		return this.firstTokenAtMillis != NONE;
+	}
+
+	long startedAtMillis() {
+		return this.startedAtMillis;
+	}
+
+	Optional<HeldGrant> heldGrant() {
+		if (this.ended || this.target.isEmpty()) {
+			return Optional.empty();
+		}
+		return this.target.map((granted) -> new HeldGrant(this.grantId, granted.id(), this.accepted.id(), this.number,
+				this.accepted.request().organisation(), this.accepted.entry().serviceClass()));
+	}
+
+	boolean holds(long otherGrantId) {
+		return this.target.isPresent() && this.grantId == otherGrantId;
+	}
+
+	/**
+	 * Takes a grant over and starts.
+	 * @param answer the grant
+	 * @param granted the target of the grant
+	 * @param fencingNumber log offset of the claim, 0 without one
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> start(GrantAnswer answer, Target granted, long fencingNumber, long nowMillis) {
+		this.target = Optional.of(granted);
+		this.grantId = answer.grantId();
+		this.handedOver = true;
+		this.startedAtMillis = nowMillis;
+		long dispatchDeadlineMillis = Math.min(answer.expiryMillis(), this.accepted.deadlineMillis());
+		return List.of(startAction(granted, dispatchDeadlineMillis, fencingNumber));
+	}
+
+	/**
+	 * Starts on the grant of an attempt that broke, at the same target.
+	 * @param broken the attempt that broke
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> startOnGrantOf(Attempt broken, long nowMillis) {
+		Target granted = broken.target.orElseThrow();
+		this.target = broken.target;
+		this.grantId = broken.grantId;
+		this.handedOver = true;
+		this.startedAtMillis = nowMillis;
+		return List.of(startAction(granted, this.accepted.deadlineMillis(), 0));
+	}
+
+	private StartAttempt startAction(Target granted, long dispatchDeadlineMillis, long fencingNumber) {
+		return new StartAttempt(this.accepted.id(), this.number, granted, this.kind, this.generationToResume,
+				this.offsetBytes, this.accepted.entry().path(), this.accepted.entry().serviceClass(),
+				dispatchDeadlineMillis, this.accepted.deadlineMillis(), fencingNumber);
+	}
+
+	void headReceived(Optional<String> generation) {
+		this.generationId = generation;
+	}
+
+	/**
+	 * Notes bytes of the answer.
+	 * @param totalBytes bytes of this attempt so far
+	 * @param nowMillis the time
+	 * @return whether they were the first
+	 */
+	boolean bytesReceived(long totalBytes, long nowMillis) {
+		boolean first = this.firstTokenAtMillis == NONE;
+		if (first) {
+			this.firstTokenAtMillis = nowMillis;
+		}
+		else {
+			this.worstGapMillis = Math.max(this.worstGapMillis, nowMillis - this.lastTokenAtMillis);
+		}
+		this.lastTokenAtMillis = nowMillis;
+		this.receivedBytes = Math.max(this.receivedBytes, totalBytes);
+		return first;
+	}
+
+	long firstTokenMillis() {
+		return hasFirstToken() ? (this.firstTokenAtMillis - this.startedAtMillis) : NONE;
+	}
+
+	/**
+	 * Notes the end while the grant goes on to another attempt.
+	 * @param run whether the target may have started the request
+	 */
+	void endKeepingGrant(boolean run) {
+		this.ended = true;
+		this.handedOver = run;
+	}
+
+	/**
+	 * Ends the attempt and gives its grant back.
+	 * @param run whether the target may have started the request
+	 * @param cause why the grant is given back
+	 * @param context where the owner is looked up
+	 * @param nowMillis the time
+	 * @return the message to the owner
+	 */
+	List<NodeAction> end(boolean run, ReleaseCause cause, FlowContext context, long nowMillis) {
+		boolean held = !this.ended && this.target.isPresent();
+		boolean waiting = isWaitingForGrant();
+		endKeepingGrant(run);
+		if (held) {
+			return release(this.grantId, this.target.get().id(), cause, context, nowMillis);
+		}
+		return waiting ? withdraw(context, nowMillis) : List.of();
+	}
+
+	/**
+	 * Gives the attempt up: closes its connection and gives its grant back.
+	 * @param context where the owner is looked up
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> cancel(FlowContext context, long nowMillis) {
+		if (this.ended) {
+			return List.of();
+		}
+		if (!this.handedOver) {
+			return end(false, ReleaseCause.UNUSED, context, nowMillis);
+		}
+		List<NodeAction> released = end(true, ReleaseCause.CANCELLED, context, nowMillis);
+		return Actions.concat(List.of(new CancelAttempt(this.accepted.id(), this.number)), released);
+	}
+
+	private List<NodeAction> withdraw(FlowContext context, long nowMillis) {
+		return release(0, GrantReturns.NO_TARGET, ReleaseCause.UNUSED, context, nowMillis);
+	}
+
+	private List<NodeAction> release(long grant, TargetId granted, ReleaseCause cause, FlowContext context,
+			long nowMillis) {
+		ShardId shard = context.catalogue().shardOfTarget().getOrDefault(granted, this.seeker.shard());
+		long serviceMillis = (this.startedAtMillis != NONE) ? (nowMillis - this.startedAtMillis) : 0;
+		AttemptTiming timing = new AttemptTiming(firstTokenMillis(), this.worstGapMillis, serviceMillis);
+		GrantRelease release = new GrantRelease(this.accepted.id(), this.number, shard, grant, granted, cause, timing);
+		Optional<VmId> owner = context.ownership().shardOwner(shard);
+		return owner.<List<NodeAction>>map((vm) -> List.of(new SendPeer(vm, release))).orElse(List.of());
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/FlowContext.java
@@ -0,0 +1,19 @@
+package org.mustardlane.core.execution;
+
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.Ownership;
+
+/**
+ * What a request flow may look at besides its own state.
+ *
+ * @param self this router
+ * @param catalogue the catalogue in force
+ * @param ownership who owns what
+ * @param budget the budget of extra attempts
+ * @param latency the first-token times seen lately
+ */
+record FlowContext(VmId self, CatalogueSnapshot catalogue, Ownership ownership, AttemptBudget budget,
+		FirstTokenTimes latency) {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/GrantReturns.java
@@ -0,0 +1,43 @@
+package org.mustardlane.core.execution;
+
+import java.util.List;
+
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantRelease;
+import org.mustardlane.core.message.ReleaseCause;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.target.AttemptTiming;
+
+/**
+ * Gives back grants that no attempt uses.
+ */
+final class GrantReturns {
+
+	/**
+	 * Stands for the target in a release that withdraws an ask without a grant.
+	 */
+	static final TargetId NO_TARGET = new TargetId("none");
+
+	private static final AttemptTiming NO_TIMING = new AttemptTiming(-1, -1, 0);
+
+	private GrantReturns() {
+	}
+
+	/**
+	 * Gives back a grant under which nothing was sent.
+	 * @param answer the grant
+	 * @param context where the owner is looked up
+	 * @return the message to the owner
+	 */
+	static List<NodeAction> unused(GrantAnswer answer, FlowContext context) {
+		GrantRelease release = new GrantRelease(answer.requestId(), answer.attempt(), answer.shard(), answer.grantId(),
+				answer.target().orElse(NO_TARGET), ReleaseCause.UNUSED, NO_TIMING);
+		return context.ownership()
+			.shardOwner(answer.shard())
+			.<List<NodeAction>>map((owner) -> List.of(new SendPeer(owner, release)))
+			.orElse(List.of());
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -0,0 +1,505 @@
+package org.mustardlane.core.execution;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.mustardlane.core.event.AbortAnswer;
+import org.mustardlane.core.event.AttemptEnded;
+import org.mustardlane.core.event.AttemptHeadReceived;
+import org.mustardlane.core.event.FinishAnswer;
+import org.mustardlane.core.event.ForwardAttempt;
+import org.mustardlane.core.event.JoinAnswer;
+import org.mustardlane.core.event.JoinEnded;
+import org.mustardlane.core.event.KeepAnswer;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.RefuseRequest;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.SendStoredAnswer;
+import org.mustardlane.core.message.ClaimAnswer;
+import org.mustardlane.core.message.ClaimCompletion;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.message.ReleaseCause;
+import org.mustardlane.core.message.StoredAnswer;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.execution.AttemptEnd;
+import org.mustardlane.core.model.execution.AttemptKind;
+import org.mustardlane.core.model.execution.Outcome;
+import org.mustardlane.core.model.execution.Refusal;
+import org.mustardlane.core.model.execution.RefusalCode;
+
+/**
+ * The life of one request: claim, grant, attempts, answer.
+ *
+ * <p>
+ * Whether a request may have run follows from the state of its attempts alone: an attempt
+ * counts as run from the moment it is handed to the adapter until the adapter or the
+ * target says that nothing was started. Not thread-safe: guarded by the lock of the
+ * request table.
+ */
+final class RequestFlow {
+
+	private static final int MOST_FAILURES = 4;
+
+	private static final int KEPT_ANSWER_BYTES = 4096;
+
+	private static final long RETRY_AFTER_MILLIS = 1000;
+
+	private static final long JOIN_AGAIN_MILLIS = 200;
+
+	private static final int SERVER_ERROR_STATUS = 500;
+
+	private static final StoredAnswer TOO_LARGE = new StoredAnswer(0, "", new byte[0]);
+
+	private final AcceptedRequest accepted;
+
+	private final Optional<ClaimSeeker> claimSeeker;
+
+	private final List<Attempt> attempts = new ArrayList<>();
+
+	private final Set<TargetId> failedTargets = new HashSet<>();
+
+	private Optional<Attempt> forwarded = Optional.empty();
+
+	private boolean claimHeld;
+
+	private boolean joining;
+
+	private boolean joinedBefore;
+
+	private boolean hedged;
+
+	private boolean callerServed;
+
+	private boolean callerGone;
+
+	private long claimOffset;
+
+	private int failures;
+
+	private int nextAttempt = 1;
+
+	RequestFlow(AcceptedRequest accepted, long nowMillis) {
+		this.accepted = accepted;
+		this.claimSeeker = accepted.claim().map((claim) -> new ClaimSeeker(accepted, claim, nowMillis));
+	}
+
+	AcceptedRequest accepted() {
+		return this.accepted;
+	}
+
+	/**
+	 * Tells whether nothing more can happen to this request.
+	 * @return true once the caller has its final word and no attempt runs
+	 */
+	boolean isOver() {
+		return (this.callerServed || this.callerGone) && !this.joining
+				&& this.attempts.stream().allMatch(Attempt::isEnded);
+	}
+
+	boolean isCallerWaiting() {
+		return !this.callerServed && !this.callerGone;
+	}
+
+	List<NodeAction> begin(FlowContext context, long nowMillis) {
+		return this.claimSeeker.map((seeker) -> seeker.ask(context, nowMillis))
+			.orElseGet(() -> newAttempt(AttemptKind.FRESH, context, nowMillis));
+	}
+
+	List<NodeAction> claimAnswered(ClaimAnswer answer, FlowContext context, long nowMillis) {
+		if (this.claimSeeker.isEmpty() || !isClaiming() || !isAnswerToOwnClaim(answer)) {
+			return List.of();
+		}
+		ClaimSeeker seeker = this.claimSeeker.get();
+		switch (answer.verdict()) {
+			case HELD:
+				return claimHeld(answer.offset(), context, nowMillis);
+			case HELD_BY_OTHER:
+				return join(answer);
+			case COMPLETED:
+				return answerFromStore(answer);
+			case BODY_DIFFERS:
+				return refuse(Outcome.NOT_RUN, RefusalCode.KEY_REUSED, "the key was used with another body", 0);
+			case UNAVAILABLE:
+				return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
+						Math.max(1, answer.retryAfterMillis()));
+			default:
+				seeker.ownerLost(nowMillis);
+				return List.of();
+		}
+	}
+
+	private boolean isClaiming() {
+		return isCallerWaiting() && !this.claimHeld && !this.joining;
+	}
+
+	private boolean isAnswerToOwnClaim(ClaimAnswer answer) {
+		return this.accepted.claim().filter((claim) -> claim.attemptId().equals(answer.attemptId())).isPresent();
+	}
+
+	private List<NodeAction> claimHeld(long offset, FlowContext context, long nowMillis) {
+		this.claimHeld = true;
+		this.claimOffset = offset;
+		return Actions.concat(List.of(new KeepAnswer(this.accepted.id(), KEPT_ANSWER_BYTES)),
+				newAttempt(AttemptKind.FRESH, context, nowMillis));
+	}
+
+	private List<NodeAction> join(ClaimAnswer answer) {
+		if (answer.holderVm().isEmpty() || answer.holderRequestId().isEmpty()) {
+			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request is claimed", RETRY_AFTER_MILLIS);
+		}
+		this.joining = true;
+		this.joinedBefore = true;
+		return List.of(new JoinAnswer(this.accepted.id(), answer.holderVm().get(), answer.holderRequestId().get()));
+	}
+
+	private List<NodeAction> answerFromStore(ClaimAnswer answer) {
+		Optional<StoredAnswer> stored = answer.answer().filter((kept) -> kept.status() != 0);
+		if (stored.isEmpty()) {
+			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request has run, its answer is not kept", 0);
+		}
+		this.callerServed = true;
+		return List.of(new SendStoredAnswer(this.accepted.id(), stored.get()));
+	}
+
+	/**
+	 * Takes the end of an answer that another request produces.
+	 * @param event the end
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> joinEnded(JoinEnded event, long nowMillis) {
+		this.joining = false;
+		if (!isCallerWaiting()) {
+			return List.of();
+		}
+		if (event.whole()) {
+			this.callerServed = true;
+			return List.of(new FinishAnswer(this.accepted.id()));
+		}
+		if (event.deliveredBytes() > 0) {
+			return abort(RefusalCode.HOLDER_GONE, "the router that answers is gone");
+		}
+		// The holder may have released its claim, or its completion may be in the log by
+		// now.
+		this.claimSeeker.ifPresent((seeker) -> seeker.askAgainAt(nowMillis + JOIN_AGAIN_MILLIS));
+		return List.of();
+	}
+
+	List<NodeAction> grantAnswered(GrantAnswer answer, FlowContext context, long nowMillis) {
+		Optional<Attempt> waiting = find(answer.attempt()).filter(Attempt::isWaitingForGrant);
+		if (waiting.isEmpty() || !isCallerWaiting()) {
+			return returnIfUnused(answer, context);
+		}
+		Attempt attempt = waiting.get();
+		switch (answer.verdict()) {
+			case GRANTED:
+				return granted(attempt, answer, context, nowMillis);
+			case REDIRECTED:
+				return attempt.seeker().redirected(answer, context, nowMillis);
+			case REFUSED:
+				return grantRefused(attempt, answer, context, nowMillis);
+			default:
+				attempt.seeker().ownerLost(nowMillis);
+				return List.of();
+		}
+	}
+
+	private List<NodeAction> returnIfUnused(GrantAnswer answer, FlowContext context) {
+		boolean used = this.attempts.stream().anyMatch((attempt) -> attempt.holds(answer.grantId()));
+		return (answer.grantId() == 0 || used) ? List.of() : GrantReturns.unused(answer, context);
+	}
+
+	private List<NodeAction> granted(Attempt attempt, GrantAnswer answer, FlowContext context, long nowMillis) {
+		Optional<Target> target = answer.target().map((id) -> context.catalogue().targets().get(id));
+		if (target.isEmpty()) {
+			attempt.seeker().ownerLost(nowMillis);
+			return GrantReturns.unused(answer, context);
+		}
+		return attempt.start(answer, target.get(), this.claimOffset, nowMillis);
+	}
+
+	private List<NodeAction> grantRefused(Attempt attempt, GrantAnswer answer, FlowContext context, long nowMillis) {
+		List<NodeAction> ended = attempt.end(false, ReleaseCause.UNUSED, context, nowMillis);
+		if (this.attempts.stream().anyMatch(Attempt::isRunning)) {
+			return ended;
+		}
+		return Actions.concat(ended, giveUp(answer.refusalCode().orElse(RefusalCode.OVERLOADED),
+				"the deadline can not be met at the present load", answer.retryAfterMillis(), context, nowMillis));
+	}
+
+	List<NodeAction> headReceived(AttemptHeadReceived event, FlowContext context, long nowMillis) {
+		Optional<Attempt> running = find(event.attempt()).filter(Attempt::isRunning);
+		if (running.isEmpty()) {
+			return List.of();
+		}
+		Attempt attempt = running.get();
+		attempt.headReceived(event.generationId());
+		if (this.accepted.entry().idempotent() && event.status() >= SERVER_ERROR_STATUS) {
+			List<NodeAction> cancelled = attempt.cancel(context, nowMillis);
+			return Actions.concat(cancelled, failed(attempt, "status " + event.status(), context, nowMillis));
+		}
+		return forward(attempt, context, nowMillis);
+	}
+
+	private List<NodeAction> forward(Attempt winner, FlowContext context, long nowMillis) {
+		boolean taken = this.forwarded.filter((attempt) -> attempt.isRunning() && attempt != winner).isPresent();
+		if (taken) {
+			return winner.cancel(context, nowMillis);
+		}
+		this.forwarded = Optional.of(winner);
+		List<NodeAction> actions = new ArrayList<>();
+		actions.add(new ForwardAttempt(this.accepted.id(), winner.number()));
+		this.attempts.stream()
+			.filter((attempt) -> attempt != winner)
+			.forEach((loser) -> actions.addAll(loser.cancel(context, nowMillis)));
+		return actions;
+	}
+
+	void bytesReceived(int attemptNumber, long totalBytes, FlowContext context, long nowMillis) {
+		find(attemptNumber).filter((attempt) -> attempt.bytesReceived(totalBytes, nowMillis))
+			.ifPresent((attempt) -> context.latency().add(this.accepted.entry().name(), attempt.firstTokenMillis()));
+	}
+
+	List<NodeAction> attemptEnded(AttemptEnded event, FlowContext context, long nowMillis) {
+		Optional<Attempt> running = find(event.attempt()).filter(Attempt::isRunning);
+		if (running.isEmpty()) {
+			return List.of();
+		}
+		Attempt attempt = running.get();
+		switch (event.end()) {
+			case WHOLE:
+				return whole(attempt, event, context, nowMillis);
+			case NOT_SENT, REFUSED:
+				List<NodeAction> released = attempt.end(false, causeOf(event.end()), context, nowMillis);
+				return Actions.concat(released, failed(attempt, event.detail(), context, nowMillis));
+			default:
+				return broken(attempt, event, context, nowMillis);
+		}
+	}
+
+	private static ReleaseCause causeOf(AttemptEnd end) {
+		return (end == AttemptEnd.NOT_SENT) ? ReleaseCause.UNUSED : ReleaseCause.FAILED;
+	}
+
+	private List<NodeAction> whole(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>(attempt.end(true, ReleaseCause.COMPLETED, context, nowMillis));
+		actions.addAll(completion(event, context));
+		if (isCallerWaiting()) {
+			this.callerServed = true;
+			actions.add(new FinishAnswer(this.accepted.id()));
+		}
+		return actions;
+	}
+
+	private List<NodeAction> completion(AttemptEnded event, FlowContext context) {
+		if (this.claimSeeker.isEmpty()) {
+			return List.of();
+		}
+		ClaimIdentity claim = this.claimSeeker.get().claim();
+		ClaimCompletion completion = new ClaimCompletion(claim.claimKey(), claim.attemptId(),
+				event.keptAnswer().orElse(TOO_LARGE));
+		return this.claimSeeker.get()
+			.owner(context)
+			.<List<NodeAction>>map((owner) -> List.of(new SendPeer(owner, completion)))
+			.orElse(List.of());
+	}
+
+	private List<NodeAction> broken(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
+		boolean resumable = attempt.generationId().isPresent() && this.forwarded.filter(attempt::equals).isPresent()
+				&& event.end() == AttemptEnd.BROKEN && this.failures < MOST_FAILURES && isCallerWaiting();
+		if (resumable) {
+			return resume(attempt, nowMillis);
+		}
+		List<NodeAction> released = attempt.end(true, ReleaseCause.FAILED, context, nowMillis);
+		return Actions.concat(released, failed(attempt, event.detail(), context, nowMillis));
+	}
+
+	private List<NodeAction> resume(Attempt broken, long nowMillis) {
+		this.failures++;
+		broken.endKeepingGrant(true);
+		Attempt resumed = new Attempt(this.accepted, this.nextAttempt++, AttemptKind.RESUME,
+				broken.generationId().orElseThrow(), broken.deliveredBytes(), broken.seeker());
+		this.attempts.add(resumed);
+		this.forwarded = Optional.of(resumed);
+		List<NodeAction> started = resumed.startOnGrantOf(broken, nowMillis);
+		return Actions.concat(started, List.of(new ForwardAttempt(this.accepted.id(), resumed.number())));
+	}
+
+	private List<NodeAction> failed(Attempt attempt, String detail, FlowContext context, long nowMillis) {
+		this.failures++;
+		attempt.targetId().ifPresent(this.failedTargets::add);
+		boolean othersLive = this.attempts.stream().anyMatch((other) -> !other.isEnded());
+		if (!isCallerWaiting() || othersLive) {
+			return List.of();
+		}
+		if (mayTryAgain(context, nowMillis)) {
+			boolean delivered = deliveredBytes() > 0;
+			return newAttempt(delivered ? AttemptKind.CONTINUE : AttemptKind.FRESH, context, nowMillis);
+		}
+		return giveUp(RefusalCode.TARGET_FAILED, detail, RETRY_AFTER_MILLIS, context, nowMillis);
+	}
+
+	private boolean mayTryAgain(FlowContext context, long nowMillis) {
+		boolean repeatable = this.accepted.entry().idempotent() || !mayHaveRun();
+		boolean joinable = deliveredBytes() == 0 || this.accepted.entry().streaming();
+		return repeatable && joinable && this.failures < MOST_FAILURES && nowMillis < this.accepted.deadlineMillis()
+				&& context.budget().trySpend();
+	}
+
+	private List<NodeAction> newAttempt(AttemptKind kind, FlowContext context, long nowMillis) {
+		int number = this.nextAttempt++;
+		Optional<GrantSeeker> seeker = GrantSeeker.of(this.accepted, number, this.failedTargets, context);
+		if (seeker.isEmpty()) {
+			return giveUp(RefusalCode.NO_TARGET, "the pool has no target", RETRY_AFTER_MILLIS, context, nowMillis);
+		}
+		this.attempts.add(new Attempt(this.accepted, number, kind, "", deliveredBytes(), seeker.get()));
+		return seeker.get().ask(context, nowMillis);
+	}
+
+	private long deliveredBytes() {
+		return this.forwarded.map(Attempt::deliveredBytes).orElse(0L);
+	}
+
+	private boolean mayHaveRun() {
+		return this.attempts.stream().anyMatch(Attempt::mayHaveRun);
+	}
+
+	List<NodeAction> tick(FlowContext context, long nowMillis) {
+		if (!isCallerWaiting()) {
+			return List.of();
+		}
+		if (nowMillis >= this.accepted.deadlineMillis()) {
+			return giveUp(RefusalCode.DEADLINE_PASSED, "the deadline has passed", RETRY_AFTER_MILLIS, context,
+					nowMillis);
+		}
+		if (isClaiming() && this.claimSeeker.isPresent()) {
+			return tickClaim(this.claimSeeker.get(), context, nowMillis);
+		}
+		List<NodeAction> actions = new ArrayList<>(hedgeIfLate(context, nowMillis));
+		List.copyOf(this.attempts)
+			.stream()
+			.filter(Attempt::isWaitingForGrant)
+			.forEach((attempt) -> actions.addAll(attempt.seeker().tick(context, nowMillis)));
+		return actions;
+	}
+
+	private List<NodeAction> tickClaim(ClaimSeeker seeker, FlowContext context, long nowMillis) {
+		if (!seeker.isPatienceOver(nowMillis)) {
+			return seeker.tick(context, nowMillis);
+		}
+		return giveUp(RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed in time", RETRY_AFTER_MILLIS,
+				context, nowMillis);
+	}
+
+	private List<NodeAction> hedgeIfLate(FlowContext context, long nowMillis) {
+		boolean single = this.attempts.size() == 1 && !this.hedged && this.forwarded.isEmpty();
+		if (!single || !this.accepted.entry().idempotent() || !this.accepted.entry().streaming()) {
+			return List.of();
+		}
+		Attempt first = this.attempts.get(0);
+		long hedgeAfterMillis = context.latency().hedgeAfterMillis(this.accepted.entry().name());
+		boolean late = first.isRunning() && nowMillis - first.startedAtMillis() > hedgeAfterMillis;
+		if (!late || !context.budget().trySpend()) {
+			return List.of();
+		}
+		this.hedged = true;
+		Set<TargetId> busy = first.targetId().map(Set::of).orElse(Set.of());
+		int number = this.nextAttempt++;
+		Optional<GrantSeeker> seeker = GrantSeeker.of(this.accepted, number, busy, context);
+		seeker.ifPresent(
+				(found) -> this.attempts.add(new Attempt(this.accepted, number, AttemptKind.FRESH, "", 0, found)));
+		return seeker.map((found) -> found.ask(context, nowMillis)).orElse(List.of());
+	}
+
+	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		this.attempts.stream()
+			.filter(Attempt::isWaitingForGrant)
+			.forEach((attempt) -> actions.addAll(attempt.seeker().ownershipChanged(context, nowMillis)));
+		return actions;
+	}
+
+	void shardOwnerLost(int attemptNumber, long nowMillis) {
+		find(attemptNumber).filter(Attempt::isWaitingForGrant)
+			.ifPresent((attempt) -> attempt.seeker().ownerLost(nowMillis));
+	}
+
+	void partitionOwnerLost(long nowMillis) {
+		this.claimSeeker.ifPresent((seeker) -> seeker.ownerLost(nowMillis));
+	}
+
+	/**
+	 * Takes the news that the caller has gone away.
+	 * @param context the surroundings
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> callerGone(FlowContext context, long nowMillis) {
+		if (!isCallerWaiting()) {
+			return List.of();
+		}
+		this.callerGone = true;
+		boolean mustFinish = !this.accepted.entry().idempotent() && mayHaveRun();
+		if (mustFinish) {
+			return List.of();
+		}
+		return Actions.concat(cancelAttempts(context, nowMillis), releaseClaim(context));
+	}
+
+	private List<NodeAction> giveUp(RefusalCode code, String message, long retryAfterMillis, FlowContext context,
+			long nowMillis) {
+		boolean run = mayHaveRun() || this.joinedBefore;
+		this.joining = false;
+		boolean keepRunning = run && !this.accepted.entry().idempotent();
+		List<NodeAction> cancelled = keepRunning ? List.of() : cancelAttempts(context, nowMillis);
+		if (this.forwarded.isPresent()) {
+			return Actions.concat(cancelled, abort(code, message));
+		}
+		List<NodeAction> claim = run ? List.of() : releaseClaim(context);
+		Outcome outcome = run ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+		return Actions.concat(cancelled, claim, refuse(outcome, code, message, retryAfterMillis));
+	}
+
+	private List<NodeAction> cancelAttempts(FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		this.attempts.forEach((attempt) -> actions.addAll(attempt.cancel(context, nowMillis)));
+		return actions;
+	}
+
+	private List<NodeAction> releaseClaim(FlowContext context) {
+		return this.claimSeeker.map((seeker) -> seeker.release(context)).orElse(List.of());
+	}
+
+	private List<NodeAction> refuse(Outcome outcome, RefusalCode code, String message, long retryAfterMillis) {
+		this.callerServed = true;
+		return List.of(new RefuseRequest(this.accepted.id(), new Refusal(outcome, code, message, retryAfterMillis)));
+	}
+
+	private List<NodeAction> abort(RefusalCode code, String message) {
+		this.callerServed = true;
+		Refusal refusal = new Refusal(Outcome.UNKNOWN, code, message, RETRY_AFTER_MILLIS);
+		return List.of(new AbortAnswer(this.accepted.id(), refusal));
+	}
+
+	Stream<HeldGrant> heldGrants() {
+		return this.attempts.stream().flatMap((attempt) -> attempt.heldGrant().stream());
+	}
+
+	ShardId shardOf(HeldGrant grant, FlowContext context) {
+		return context.catalogue()
+			.shardOfTarget()
+			.getOrDefault(grant.target(), find(grant.attempt()).orElseThrow().seeker().shard());
+	}
+
+	private Optional<Attempt> find(int number) {
+		return this.attempts.stream().filter((attempt) -> attempt.number() == number).findFirst();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestHandler.java
@@ -0,0 +1,247 @@
+package org.mustardlane.core.execution;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+import org.mustardlane.core.event.AttemptBytesReceived;
+import org.mustardlane.core.event.AttemptEnded;
+import org.mustardlane.core.event.AttemptHeadReceived;
+import org.mustardlane.core.event.CatalogueChanged;
+import org.mustardlane.core.event.DrainFinished;
+import org.mustardlane.core.event.DrainRequested;
+import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.JoinEnded;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.PeerUnreachable;
+import org.mustardlane.core.event.RefuseRequest;
+import org.mustardlane.core.event.RequestArrived;
+import org.mustardlane.core.event.RequestCancelled;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.message.ClaimAnswer;
+import org.mustardlane.core.message.ClaimAsk;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantAsk;
+import org.mustardlane.core.message.GrantRenewal;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.LockRank;
+import org.mustardlane.core.model.common.RankedLock;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.execution.Refusal;
+import org.mustardlane.core.model.membership.Ownership;
+
+/**
+ * The requests that this router has received.
+ *
+ * <p>
+ * Thread-safe by one lock of rank {@link LockRank#REQUESTS}.
+ */
+public final class RequestHandler implements EventHandler {
+
+	private static final long RENEWAL_MILLIS = 1000;
+
+	private static final double EXTRA_ATTEMPT_SHARE = 0.05;
+
+	private static final double SAVED_ATTEMPTS = 20;
+
+	private final RankedLock lock = new RankedLock(LockRank.REQUESTS);
+
+	private final VmId self;
+
+	private final Map<RequestId, RequestFlow> flows = new LinkedHashMap<>();
+
+	private final AttemptBudget budget = new AttemptBudget(EXTRA_ATTEMPT_SHARE, SAVED_ATTEMPTS);
+
+	private final FirstTokenTimes latency = new FirstTokenTimes();
+
+	private CatalogueSnapshot catalogue = CatalogueSnapshot.EMPTY;
+
+	private Ownership ownership;
+
+	private long renewAtMillis;
+
+	private boolean draining;
+
+	private boolean drained;
+
+	private long drainDeadlineMillis;
+
+	/**
+	 * Creates an empty table.
+	 * @param initial what this router knows of ownership at its start
+	 */
+	public RequestHandler(Ownership initial) {
+		this.self = initial.self();
+		this.ownership = initial;
+	}
+
+	@Override
+	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
+		return this.lock.locked(() -> dispatch(event, nowMillis));
+	}
+
+	/**
+	 * Returns how many requests have no final word yet.
+	 * @return the count
+	 */
+	public int inFlight() {
+		return this.lock.locked(this.flows::size);
+	}
+
+	private List<NodeAction> dispatch(NodeEvent event, long nowMillis) {
+		if (event instanceof RequestArrived arrived) {
+			return arrived(arrived, nowMillis);
+		}
+		if (event instanceof RequestCancelled cancelled) {
+			return onFlow(cancelled.requestId(), (flow) -> flow.callerGone(context(), nowMillis));
+		}
+		if (event instanceof AttemptHeadReceived head) {
+			return onFlow(head.requestId(), (flow) -> flow.headReceived(head, context(), nowMillis));
+		}
+		if (event instanceof AttemptBytesReceived bytes) {
+			return bytesReceived(bytes, nowMillis);
+		}
+		if (event instanceof AttemptEnded ended) {
+			return onFlow(ended.requestId(), (flow) -> flow.attemptEnded(ended, context(), nowMillis));
+		}
+		if (event instanceof JoinEnded ended) {
+			return onFlow(ended.requestId(), (flow) -> flow.joinEnded(ended, nowMillis));
+		}
+		if (event instanceof PeerMessageReceived received) {
+			return peerMessage(received.message(), nowMillis);
+		}
+		if (event instanceof PeerUnreachable lost) {
+			return peerLost(lost.message(), nowMillis);
+		}
+		return dispatchFleetEvent(event, nowMillis);
+	}
+
+	private List<NodeAction> dispatchFleetEvent(NodeEvent event, long nowMillis) {
+		if (event instanceof Tick) {
+			return tick(nowMillis);
+		}
+		if (event instanceof CatalogueChanged changed) {
+			this.catalogue = changed.snapshot();
+		}
+		if (event instanceof OwnershipChanged changed) {
+			this.ownership = changed.ownership();
+			this.renewAtMillis = nowMillis;
+			return onAllFlows((flow) -> flow.ownershipChanged(context(), nowMillis));
+		}
+		if (event instanceof DrainRequested requested) {
+			this.draining = true;
+			this.drainDeadlineMillis = requested.deadlineMillis();
+		}
+		return List.of();
+	}
+
+	private List<NodeAction> arrived(RequestArrived arrived, long nowMillis) {
+		Optional<Refusal> refusal = RequestCheck.findRefusal(arrived.request(), this.catalogue);
+		if (refusal.isPresent()) {
+			return List.of(new RefuseRequest(arrived.requestId(), refusal.get()));
+		}
+		this.budget.earn();
+		AcceptedRequest accepted = RequestCheck.accept(arrived.requestId(), arrived.request(), this.catalogue);
+		this.flows.put(arrived.requestId(), new RequestFlow(accepted, nowMillis));
+		return onFlow(arrived.requestId(), (flow) -> flow.begin(context(), nowMillis));
+	}
+
+	private List<NodeAction> bytesReceived(AttemptBytesReceived bytes, long nowMillis) {
+		RequestFlow flow = this.flows.get(bytes.requestId());
+		if (flow != null) {
+			flow.bytesReceived(bytes.attempt(), bytes.totalBytes(), context(), nowMillis);
+		}
+		return List.of();
+	}
+
+	private List<NodeAction> peerMessage(PeerMessage message, long nowMillis) {
+		if (message instanceof ClaimAnswer answer) {
+			return onFlow(answer.requestId(), (flow) -> flow.claimAnswered(answer, context(), nowMillis));
+		}
+		if (message instanceof GrantAnswer answer) {
+			return grantAnswered(answer, nowMillis);
+		}
+		return List.of();
+	}
+
+	private List<NodeAction> grantAnswered(GrantAnswer answer, long nowMillis) {
+		if (!this.flows.containsKey(answer.requestId())) {
+			return (answer.grantId() != 0) ? GrantReturns.unused(answer, context()) : List.of();
+		}
+		return onFlow(answer.requestId(), (flow) -> flow.grantAnswered(answer, context(), nowMillis));
+	}
+
+	private List<NodeAction> peerLost(PeerMessage message, long nowMillis) {
+		if (message instanceof GrantAsk ask && this.flows.containsKey(ask.requestId())) {
+			this.flows.get(ask.requestId()).shardOwnerLost(ask.attempt(), nowMillis);
+		}
+		if (message instanceof ClaimAsk ask && this.flows.containsKey(ask.requestId())) {
+			this.flows.get(ask.requestId()).partitionOwnerLost(nowMillis);
+		}
+		return List.of();
+	}
+
+	private List<NodeAction> tick(long nowMillis) {
+		List<NodeAction> actions = onAllFlows((flow) -> flow.tick(context(), nowMillis));
+		if (nowMillis >= this.renewAtMillis) {
+			this.renewAtMillis = nowMillis + RENEWAL_MILLIS;
+			actions.addAll(renewals());
+		}
+		boolean deadlinePassed = nowMillis >= this.drainDeadlineMillis;
+		if (this.draining && !this.drained && (this.flows.isEmpty() || deadlinePassed)) {
+			this.drained = true;
+			actions.add(new DrainFinished());
+		}
+		return actions;
+	}
+
+	private List<NodeAction> renewals() {
+		Map<ShardId, List<HeldGrant>> held = new TreeMap<>();
+		for (RequestFlow flow : this.flows.values()) {
+			flow.heldGrants()
+				.forEach((grant) -> held.computeIfAbsent(flow.shardOf(grant, context()), (key) -> new ArrayList<>())
+					.add(grant));
+		}
+		List<NodeAction> actions = new ArrayList<>();
+		held.forEach((shard, grants) -> this.ownership.shardOwner(shard)
+			.ifPresent((owner) -> actions.add(new SendPeer(owner, new GrantRenewal(shard, grants)))));
+		return actions;
+	}
+
+	private List<NodeAction> onAllFlows(Function<RequestFlow, List<NodeAction>> step) {
+		List<NodeAction> actions = new ArrayList<>();
+		for (RequestId id : List.copyOf(this.flows.keySet())) {
+			actions.addAll(onFlow(id, step));
+		}
+		return actions;
+	}
+
+	private List<NodeAction> onFlow(RequestId id, Function<RequestFlow, List<NodeAction>> step) {
+		RequestFlow flow = this.flows.get(id);
+		if (flow == null) {
+			return List.of();
+		}
+		List<NodeAction> actions = step.apply(flow);
+		if (flow.isOver()) {
+			this.flows.remove(id);
+		}
+		return actions;
+	}
+
+	private FlowContext context() {
+		return new FlowContext(this.self, this.catalogue, this.ownership, this.budget, this.latency);
+	}
+
+}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -1,12 +1,37 @@
 package org.mustardlane.core.node;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
+import org.mustardlane.core.admission.AdmissionHandler;
+import org.mustardlane.core.catalogue.CatalogueHandler;
+import org.mustardlane.core.claim.ClaimHandler;
+import org.mustardlane.core.event.DrainRequested;
 import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.RaiseEvent;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.VmListRead;
+import org.mustardlane.core.execution.RequestHandler;
+import org.mustardlane.core.membership.MembershipHandler;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.Ownership;
+import org.mustardlane.core.model.membership.VmHeartbeat;
+import org.mustardlane.core.order.OrderHandler;
 
 /**
  * The whole of a router without its input and output: turns every event that a router can
@@ -14,23 +39,87 @@
  *
  * <p>
  * Thread-safe. Events that concern one request must be handed in one after another, in
- * the order in which they were seen; all others may come at once from many threads.
+ * the order in which they were seen; all others may come at once from many threads. The
+ * handlers run one after another without a lock held between them; what one of them
+ * raises, and messages to the router itself, are handled before this method returns.
  */
 public final class Node implements EventHandler {
 
 	private final NodeSettings settings;
 
+	private final MembershipHandler membership;
+
+	private final CatalogueHandler catalogue;
+
+	private final RequestHandler requests;
+
+	private final List<EventHandler> handlers;
+
+	private final AtomicReference<Ownership> ownership;
+
+	private final AtomicLong lastPlatformContactMillis = new AtomicLong();
+
+	private final AtomicLong lastEventMillis = new AtomicLong();
+
+	private volatile boolean draining;
+
 	/**
 	 * Creates a node.
 	 * @param settings what it is told at its start
 	 */
 	public Node(NodeSettings settings) {
 		this.settings = settings;
+		Ownership unknown = new Ownership(settings.self(), settings.domain(), Map.of());
+		VmHeartbeat heartbeat = new VmHeartbeat(settings.self(), settings.domain(), settings.incarnationMillis(), 0,
+				false, settings.host(), settings.peerPort(), 0);
+		this.ownership = new AtomicReference<>(unknown);
+		this.membership = new MembershipHandler(heartbeat, settings.seed());
+		this.catalogue = new CatalogueHandler(settings.self());
+		this.requests = new RequestHandler(unknown);
+		AdmissionHandler admission = new AdmissionHandler(settings.self(), settings.incarnationMillis());
+		ClaimHandler claims = new ClaimHandler(settings.self(), settings.incarnationMillis());
+		OrderHandler orders = new OrderHandler(settings.self(), settings.incarnationMillis());
+		this.handlers = List.of(this.membership, this.catalogue, admission, claims, orders, this.requests);
 	}
 
 	@Override
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
-		return List.of();
+		List<NodeAction> outgoing = new ArrayList<>();
+		Deque<NodeEvent> pending = new ArrayDeque<>();
+		pending.add(event);
+		while (!pending.isEmpty()) {
+			NodeEvent next = pending.remove();
+			note(next, nowMillis);
+			for (EventHandler handler : this.handlers) {
+				handler.handle(next, nowMillis).forEach((action) -> sort(action, outgoing, pending));
+			}
+		}
+		return outgoing;
+	}
+
+	private void sort(NodeAction action, List<NodeAction> outgoing, Deque<NodeEvent> pending) {
+		if (action instanceof RaiseEvent raised) {
+			pending.add(raised.event());
+			return;
+		}
+		if (action instanceof SendPeer send && send.peer().equals(this.settings.self())) {
+			pending.add(new PeerMessageReceived(this.settings.self(), send.message()));
+			return;
+		}
+		outgoing.add(action);
+	}
+
+	private void note(NodeEvent event, long nowMillis) {
+		this.lastEventMillis.accumulateAndGet(nowMillis, Math::max);
+		if (event instanceof OwnershipChanged changed) {
+			this.ownership.set(changed.ownership());
+		}
+		if (event instanceof LogRecordsRead || event instanceof VmListRead || event instanceof LogAppendEnded) {
+			this.lastPlatformContactMillis.set(nowMillis);
+		}
+		if (event instanceof DrainRequested) {
+			this.draining = true;
+		}
 	}
 
 	/**
@@ -38,7 +127,16 @@
 	 * @return the catalogue
 	 */
 	public CatalogueSnapshot catalogue() {
-		return CatalogueSnapshot.EMPTY;
+		return this.catalogue.snapshot();
+	}
+
+	/**
+	 * Returns what the newest sign of life of another router says.
+	 * @param vm the other router
+	 * @return its heartbeat, which holds its address, or empty where nothing is known
+	 */
+	public Optional<VmHeartbeat> findPeer(VmId vm) {
+		return this.membership.find(vm);
 	}
 
 	/**
@@ -46,7 +144,14 @@
 	 * @return the status
 	 */
 	public NodeStatus status() {
-		return new NodeStatus(this.settings, 0, false, 0, 0, List.of(), List.of(), Map.of(), List.of());
+		Ownership view = this.ownership.get();
+		Map<ShardId, VmId> owners = new TreeMap<>();
+		catalogue().shards()
+			.keySet()
+			.forEach((shard) -> view.shardOwner(shard).ifPresent((owner) -> owners.put(shard, owner)));
+		return new NodeStatus(this.settings, catalogue().revision(), this.draining, this.requests.inFlight(),
+				this.lastPlatformContactMillis.get(), this.membership.peers(),
+				this.membership.livePeers(this.lastEventMillis.get()), owners, List.of());
 	}
 
 }
