--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/AttemptSet.java
@@ -0,0 +1,207 @@
+package org.mustardlane.core.execution;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.mustardlane.core.event.ForwardAttempt;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.execution.AttemptKind;
+
+/**
+ * The attempts of one request, of which at most one is passed on to the caller.
+ *
+ * <p>
+ * Not thread-safe: guarded by the lock of the request table.
+ */
+final class AttemptSet {
+
+	private static final int MOST_FAILURES = 4;
+
+	private final AcceptedRequest accepted;
+
+	private final List<Attempt> attempts = new ArrayList<>();
+
+	private final Set<TargetId> failedTargets = new HashSet<>();
+
+	private Optional<Attempt> forwarded = Optional.empty();
+
+	private int failures;
+
+	private int nextNumber = 1;
+
+	private boolean hedged;
+
+	AttemptSet(AcceptedRequest accepted) {
+		this.accepted = accepted;
+	}
+
+	Optional<Attempt> findRunning(int number) {
+		return find(number).filter(Attempt::isRunning);
+	}
+
+	Optional<Attempt> findWaiting(int number) {
+		return find(number).filter(Attempt::isWaitingForGrant);
+	}
+
+	private Optional<Attempt> find(int number) {
+		return this.attempts.stream().filter((attempt) -> attempt.number() == number).findFirst();
+	}
+
+	boolean allEnded() {
+		return this.attempts.stream().allMatch(Attempt::isEnded);
+	}
+
+	boolean anyRunning() {
+		return this.attempts.stream().anyMatch(Attempt::isRunning);
+	}
+
+	boolean mayHaveRun() {
+		return this.attempts.stream().anyMatch(Attempt::mayHaveRun);
+	}
+
+	boolean holdsGrant(long grantId) {
+		return this.attempts.stream().anyMatch((attempt) -> attempt.holds(grantId));
+	}
+
+	boolean isForwarding() {
+		return this.forwarded.isPresent();
+	}
+
+	long deliveredBytes() {
+		return this.forwarded.map(Attempt::deliveredBytes).orElse(0L);
+	}
+
+	void noteFailure(Attempt attempt) {
+		this.failures++;
+		attempt.targetId().ifPresent(this.failedTargets::add);
+	}
+
+	boolean mayFailAgain() {
+		return this.failures < MOST_FAILURES;
+	}
+
+	/**
+	 * Adds an attempt that waits for its grant.
+	 * @param context the surroundings
+	 * @return the attempt, or empty where the pool has no target
+	 */
+	Optional<Attempt> add(FlowContext context) {
+		AttemptKind kind = (deliveredBytes() > 0) ? AttemptKind.CONTINUE : AttemptKind.FRESH;
+		return add(kind, this.failedTargets, context);
+	}
+
+	private Optional<Attempt> add(AttemptKind kind, Set<TargetId> excludedTargets, FlowContext context) {
+		int number = this.nextNumber++;
+		Optional<Attempt> attempt = GrantSeeker.of(this.accepted, number, excludedTargets, context)
+			.map((seeker) -> new Attempt(this.accepted, number, kind, "", deliveredBytes(), seeker));
+		attempt.ifPresent(this.attempts::add);
+		return attempt;
+	}
+
+	/**
+	 * Adds a second attempt at another target where the first token of the only attempt
+	 * is late.
+	 * @param context the surroundings
+	 * @param nowMillis the time
+	 * @return the attempt, or empty where no hedge is due or the budget is spent
+	 */
+	Optional<Attempt> addHedgeIfLate(FlowContext context, long nowMillis) {
+		boolean possible = this.accepted.entry().idempotent() && this.accepted.entry().streaming();
+		if (!possible || this.hedged || this.attempts.size() != 1 || isForwarding()) {
+			return Optional.empty();
+		}
+		Attempt first = this.attempts.get(0);
+		long waitMillis = context.latency().hedgeAfterMillis(this.accepted.entry().name());
+		boolean late = first.isRunning() && nowMillis - first.startedAtMillis() > waitMillis;
+		if (!late || !context.budget().trySpend()) {
+			return Optional.empty();
+		}
+		this.hedged = true;
+		return add(AttemptKind.FRESH, first.targetId().map(Set::of).orElse(Set.of()), context);
+	}
+
+	boolean isResumable(Attempt broken) {
+		boolean passedOn = this.forwarded.filter(broken::equals).isPresent();
+		return passedOn && broken.generationId().isPresent() && mayFailAgain();
+	}
+
+	/**
+	 * Reads the generation of a broken attempt on, at the same engine and under the same
+	 * grant.
+	 * @param broken the attempt that broke
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> resume(Attempt broken, long nowMillis) {
+		this.failures++;
+		broken.endKeepingGrant(true);
+		Attempt resumed = new Attempt(this.accepted, this.nextNumber++, AttemptKind.RESUME,
+				broken.generationId().orElseThrow(), broken.deliveredBytes(), broken.seeker());
+		this.attempts.add(resumed);
+		this.forwarded = Optional.of(resumed);
+		List<NodeAction> started = resumed.startOnGrantOf(broken, nowMillis);
+		return Actions.concat(started, List.of(new ForwardAttempt(this.accepted.id(), resumed.number())));
+	}
+
+	/**
+	 * Passes the answer of an attempt on and cancels all others, unless another one is
+	 * passed on already.
+	 * @param winner the attempt whose answer has begun
+	 * @param context the surroundings
+	 * @param nowMillis the time
+	 * @return what is to be done
+	 */
+	List<NodeAction> forward(Attempt winner, FlowContext context, long nowMillis) {
+		boolean taken = this.forwarded.filter((attempt) -> attempt.isRunning() && attempt != winner).isPresent();
+		if (taken) {
+			return winner.cancel(context, nowMillis);
+		}
+		this.forwarded = Optional.of(winner);
+		List<NodeAction> actions = new ArrayList<>();
+		actions.add(new ForwardAttempt(this.accepted.id(), winner.number()));
+		this.attempts.stream()
+			.filter((attempt) -> attempt != winner)
+			.forEach((loser) -> actions.addAll(loser.cancel(context, nowMillis)));
+		return actions;
+	}
+
+	List<NodeAction> cancelAll(FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		this.attempts.forEach((attempt) -> actions.addAll(attempt.cancel(context, nowMillis)));
+		return actions;
+	}
+
+	List<NodeAction> tick(FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		waiting().forEach((attempt) -> actions.addAll(attempt.seeker().tick(context, nowMillis)));
+		return actions;
+	}
+
+	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		waiting().forEach((attempt) -> actions.addAll(attempt.seeker().ownershipChanged(context, nowMillis)));
+		return actions;
+	}
+
+	private Stream<Attempt> waiting() {
+		return this.attempts.stream().filter(Attempt::isWaitingForGrant);
+	}
+
+	Stream<HeldGrant> heldGrants() {
+		return this.attempts.stream().flatMap((attempt) -> attempt.heldGrant().stream());
+	}
+
+	ShardId shardOf(HeldGrant grant, FlowContext context) {
+		return context.catalogue()
+			.shardOfTarget()
+			.getOrDefault(grant.target(), find(grant.attempt()).orElseThrow().seeker().shard());
+	}
+
+}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -1,17 +1,13 @@
 package org.mustardlane.core.execution;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Stream;
 
 import org.mustardlane.core.event.AbortAnswer;
 import org.mustardlane.core.event.AttemptEnded;
 import org.mustardlane.core.event.AttemptHeadReceived;
 import org.mustardlane.core.event.FinishAnswer;
-import org.mustardlane.core.event.ForwardAttempt;
 import org.mustardlane.core.event.JoinAnswer;
 import org.mustardlane.core.event.JoinEnded;
 import org.mustardlane.core.event.KeepAnswer;
@@ -22,14 +18,10 @@
 import org.mustardlane.core.message.ClaimAnswer;
 import org.mustardlane.core.message.ClaimCompletion;
 import org.mustardlane.core.message.GrantAnswer;
-import org.mustardlane.core.message.HeldGrant;
 import org.mustardlane.core.message.ReleaseCause;
 import org.mustardlane.core.message.StoredAnswer;
 import org.mustardlane.core.model.catalogue.Target;
-import org.mustardlane.core.model.common.ShardId;
-import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.model.execution.AttemptEnd;
-import org.mustardlane.core.model.execution.AttemptKind;
 import org.mustardlane.core.model.execution.Outcome;
 import org.mustardlane.core.model.execution.Refusal;
 import org.mustardlane.core.model.execution.RefusalCode;
@@ -45,8 +37,6 @@
  */
 final class RequestFlow {
 
-	private static final int MOST_FAILURES = 4;
-
 	private static final int KEPT_ANSWER_BYTES = 4096;
 
 	private static final long RETRY_AFTER_MILLIS = 1000;
@@ -61,11 +51,7 @@
 
 	private final Optional<ClaimSeeker> claimSeeker;
 
-	private final List<Attempt> attempts = new ArrayList<>();
-
-	private final Set<TargetId> failedTargets = new HashSet<>();
-
-	private Optional<Attempt> forwarded = Optional.empty();
+	private final AttemptSet attempts;
 
 	private boolean claimHeld;
 
@@ -73,20 +59,15 @@
 
 	private boolean joinedBefore;
 
-	private boolean hedged;
-
 	private boolean callerServed;
 
 	private boolean callerGone;
 
 	private long claimOffset;
 
-	private int failures;
-
-	private int nextAttempt = 1;
-
 	RequestFlow(AcceptedRequest accepted, long nowMillis) {
 		this.accepted = accepted;
+		this.attempts = new AttemptSet(accepted);
 		this.claimSeeker = accepted.claim().map((claim) -> new ClaimSeeker(accepted, claim, nowMillis));
 	}
 
@@ -99,8 +80,7 @@
 	 * @return true once the caller has its final word and no attempt runs
 	 */
 	boolean isOver() {
-		return (this.callerServed || this.callerGone) && !this.joining
-				&& this.attempts.stream().allMatch(Attempt::isEnded);
+		return !isCallerWaiting() && !this.joining && this.attempts.allEnded();
 	}
 
 	boolean isCallerWaiting() {
@@ -109,7 +89,7 @@
 
 	List<NodeAction> begin(FlowContext context, long nowMillis) {
 		return this.claimSeeker.map((seeker) -> seeker.ask(context, nowMillis))
-			.orElseGet(() -> newAttempt(AttemptKind.FRESH, context, nowMillis));
+			.orElseGet(() -> newAttempt(context, nowMillis));
 	}
 
 	List<NodeAction> claimAnswered(ClaimAnswer answer, FlowContext context, long nowMillis) {
@@ -147,7 +127,7 @@
 		this.claimHeld = true;
 		this.claimOffset = offset;
 		return Actions.concat(List.of(new KeepAnswer(this.accepted.id(), KEPT_ANSWER_BYTES)),
-				newAttempt(AttemptKind.FRESH, context, nowMillis));
+				newAttempt(context, nowMillis));
 	}
 
 	private List<NodeAction> join(ClaimAnswer answer) {
@@ -193,7 +173,7 @@
 	}
 
 	List<NodeAction> grantAnswered(GrantAnswer answer, FlowContext context, long nowMillis) {
-		Optional<Attempt> waiting = find(answer.attempt()).filter(Attempt::isWaitingForGrant);
+		Optional<Attempt> waiting = this.attempts.findWaiting(answer.attempt());
 		if (waiting.isEmpty() || !isCallerWaiting()) {
 			return returnIfUnused(answer, context);
 		}
@@ -212,7 +192,7 @@
 	}
 
 	private List<NodeAction> returnIfUnused(GrantAnswer answer, FlowContext context) {
-		boolean used = this.attempts.stream().anyMatch((attempt) -> attempt.holds(answer.grantId()));
+		boolean used = this.attempts.holdsGrant(answer.grantId());
 		return (answer.grantId() == 0 || used) ? List.of() : GrantReturns.unused(answer, context);
 	}
 
@@ -227,7 +207,7 @@
 
 	private List<NodeAction> grantRefused(Attempt attempt, GrantAnswer answer, FlowContext context, long nowMillis) {
 		List<NodeAction> ended = attempt.end(false, ReleaseCause.UNUSED, context, nowMillis);
-		if (this.attempts.stream().anyMatch(Attempt::isRunning)) {
+		if (this.attempts.anyRunning()) {
 			return ended;
 		}
 		return Actions.concat(ended, giveUp(answer.refusalCode().orElse(RefusalCode.OVERLOADED),
@@ -235,7 +215,7 @@
 	}
 
 	List<NodeAction> headReceived(AttemptHeadReceived event, FlowContext context, long nowMillis) {
-		Optional<Attempt> running = find(event.attempt()).filter(Attempt::isRunning);
+		Optional<Attempt> running = this.attempts.findRunning(event.attempt());
 		if (running.isEmpty()) {
 			return List.of();
 		}
@@ -245,30 +225,17 @@
 			List<NodeAction> cancelled = attempt.cancel(context, nowMillis);
 			return Actions.concat(cancelled, failed(attempt, "status " + event.status(), context, nowMillis));
 		}
-		return forward(attempt, context, nowMillis);
-	}
-
-	private List<NodeAction> forward(Attempt winner, FlowContext context, long nowMillis) {
-		boolean taken = this.forwarded.filter((attempt) -> attempt.isRunning() && attempt != winner).isPresent();
-		if (taken) {
-			return winner.cancel(context, nowMillis);
-		}
-		this.forwarded = Optional.of(winner);
-		List<NodeAction> actions = new ArrayList<>();
-		actions.add(new ForwardAttempt(this.accepted.id(), winner.number()));
-		this.attempts.stream()
-			.filter((attempt) -> attempt != winner)
-			.forEach((loser) -> actions.addAll(loser.cancel(context, nowMillis)));
-		return actions;
+		return this.attempts.forward(attempt, context, nowMillis);
 	}
 
 	void bytesReceived(int attemptNumber, long totalBytes, FlowContext context, long nowMillis) {
-		find(attemptNumber).filter((attempt) -> attempt.bytesReceived(totalBytes, nowMillis))
+		this.attempts.findRunning(attemptNumber)
+			.filter((attempt) -> attempt.bytesReceived(totalBytes, nowMillis))
 			.ifPresent((attempt) -> context.latency().add(this.accepted.entry().name(), attempt.firstTokenMillis()));
 	}
 
 	List<NodeAction> attemptEnded(AttemptEnded event, FlowContext context, long nowMillis) {
-		Optional<Attempt> running = find(event.attempt()).filter(Attempt::isRunning);
+		Optional<Attempt> running = this.attempts.findRunning(event.attempt());
 		if (running.isEmpty()) {
 			return List.of();
 		}
@@ -312,63 +279,38 @@
 	}
 
 	private List<NodeAction> broken(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
-		boolean resumable = attempt.generationId().isPresent() && this.forwarded.filter(attempt::equals).isPresent()
-				&& event.end() == AttemptEnd.BROKEN && this.failures < MOST_FAILURES && isCallerWaiting();
-		if (resumable) {
-			return resume(attempt, nowMillis);
+		boolean sameEngine = event.end() == AttemptEnd.BROKEN && isCallerWaiting();
+		if (sameEngine && this.attempts.isResumable(attempt)) {
+			return this.attempts.resume(attempt, nowMillis);
 		}
 		List<NodeAction> released = attempt.end(true, ReleaseCause.FAILED, context, nowMillis);
 		return Actions.concat(released, failed(attempt, event.detail(), context, nowMillis));
 	}
 
-	private List<NodeAction> resume(Attempt broken, long nowMillis) {
-		this.failures++;
-		broken.endKeepingGrant(true);
-		Attempt resumed = new Attempt(this.accepted, this.nextAttempt++, AttemptKind.RESUME,
-				broken.generationId().orElseThrow(), broken.deliveredBytes(), broken.seeker());
-		this.attempts.add(resumed);
-		this.forwarded = Optional.of(resumed);
-		List<NodeAction> started = resumed.startOnGrantOf(broken, nowMillis);
-		return Actions.concat(started, List.of(new ForwardAttempt(this.accepted.id(), resumed.number())));
-	}
-
 	private List<NodeAction> failed(Attempt attempt, String detail, FlowContext context, long nowMillis) {
-		this.failures++;
-		attempt.targetId().ifPresent(this.failedTargets::add);
-		boolean othersLive = this.attempts.stream().anyMatch((other) -> !other.isEnded());
-		if (!isCallerWaiting() || othersLive) {
+		this.attempts.noteFailure(attempt);
+		if (!isCallerWaiting() || !this.attempts.allEnded()) {
 			return List.of();
 		}
 		if (mayTryAgain(context, nowMillis)) {
-			boolean delivered = deliveredBytes() > 0;
-			return newAttempt(delivered ? AttemptKind.CONTINUE : AttemptKind.FRESH, context, nowMillis);
+			return newAttempt(context, nowMillis);
 		}
 		return giveUp(RefusalCode.TARGET_FAILED, detail, RETRY_AFTER_MILLIS, context, nowMillis);
 	}
 
 	private boolean mayTryAgain(FlowContext context, long nowMillis) {
-		boolean repeatable = this.accepted.entry().idempotent() || !mayHaveRun();
-		boolean joinable = deliveredBytes() == 0 || this.accepted.entry().streaming();
-		return repeatable && joinable && this.failures < MOST_FAILURES && nowMillis < this.accepted.deadlineMillis()
+		boolean repeatable = this.accepted.entry().idempotent() || !this.attempts.mayHaveRun();
+		boolean joinable = this.attempts.deliveredBytes() == 0 || this.accepted.entry().streaming();
+		return repeatable && joinable && this.attempts.mayFailAgain() && nowMillis < this.accepted.deadlineMillis()
 				&& context.budget().trySpend();
 	}
 
-	private List<NodeAction> newAttempt(AttemptKind kind, FlowContext context, long nowMillis) {
-		int number = this.nextAttempt++;
-		Optional<GrantSeeker> seeker = GrantSeeker.of(this.accepted, number, this.failedTargets, context);
-		if (seeker.isEmpty()) {
+	private List<NodeAction> newAttempt(FlowContext context, long nowMillis) {
+		Optional<Attempt> attempt = this.attempts.add(context);
+		if (attempt.isEmpty()) {
 			return giveUp(RefusalCode.NO_TARGET, "the pool has no target", RETRY_AFTER_MILLIS, context, nowMillis);
 		}
-		this.attempts.add(new Attempt(this.accepted, number, kind, "", deliveredBytes(), seeker.get()));
-		return seeker.get().ask(context, nowMillis);
-	}
-
-	private long deliveredBytes() {
-		return this.forwarded.map(Attempt::deliveredBytes).orElse(0L);
-	}
-
-	private boolean mayHaveRun() {
-		return this.attempts.stream().anyMatch(Attempt::mayHaveRun);
+		return attempt.get().seeker().ask(context, nowMillis);
 	}
 
 	List<NodeAction> tick(FlowContext context, long nowMillis) {
@@ -382,12 +324,10 @@
 		if (isClaiming() && this.claimSeeker.isPresent()) {
 			return tickClaim(this.claimSeeker.get(), context, nowMillis);
 		}
-		List<NodeAction> actions = new ArrayList<>(hedgeIfLate(context, nowMillis));
-		List.copyOf(this.attempts)
-			.stream()
-			.filter(Attempt::isWaitingForGrant)
-			.forEach((attempt) -> actions.addAll(attempt.seeker().tick(context, nowMillis)));
-		return actions;
+		List<NodeAction> hedge = this.attempts.addHedgeIfLate(context, nowMillis)
+			.map((attempt) -> attempt.seeker().ask(context, nowMillis))
+			.orElse(List.of());
+		return Actions.concat(hedge, this.attempts.tick(context, nowMillis));
 	}
 
 	private List<NodeAction> tickClaim(ClaimSeeker seeker, FlowContext context, long nowMillis) {
@@ -398,37 +338,12 @@
 				context, nowMillis);
 	}
 
-	private List<NodeAction> hedgeIfLate(FlowContext context, long nowMillis) {
-		boolean single = this.attempts.size() == 1 && !this.hedged && this.forwarded.isEmpty();
-		if (!single || !this.accepted.entry().idempotent() || !this.accepted.entry().streaming()) {
-			return List.of();
-		}
-		Attempt first = this.attempts.get(0);
-		long hedgeAfterMillis = context.latency().hedgeAfterMillis(this.accepted.entry().name());
-		boolean late = first.isRunning() && nowMillis - first.startedAtMillis() > hedgeAfterMillis;
-		if (!late || !context.budget().trySpend()) {
-			return List.of();
-		}
-		this.hedged = true;
-		Set<TargetId> busy = first.targetId().map(Set::of).orElse(Set.of());
-		int number = this.nextAttempt++;
-		Optional<GrantSeeker> seeker = GrantSeeker.of(this.accepted, number, busy, context);
-		seeker.ifPresent(
-				(found) -> this.attempts.add(new Attempt(this.accepted, number, AttemptKind.FRESH, "", 0, found)));
-		return seeker.map((found) -> found.ask(context, nowMillis)).orElse(List.of());
-	}
-
 	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
-		List<NodeAction> actions = new ArrayList<>();
-		this.attempts.stream()
-			.filter(Attempt::isWaitingForGrant)
-			.forEach((attempt) -> actions.addAll(attempt.seeker().ownershipChanged(context, nowMillis)));
-		return actions;
+		return this.attempts.ownershipChanged(context, nowMillis);
 	}
 
 	void shardOwnerLost(int attemptNumber, long nowMillis) {
-		find(attemptNumber).filter(Attempt::isWaitingForGrant)
-			.ifPresent((attempt) -> attempt.seeker().ownerLost(nowMillis));
+		this.attempts.findWaiting(attemptNumber).ifPresent((attempt) -> attempt.seeker().ownerLost(nowMillis));
 	}
 
 	void partitionOwnerLost(long nowMillis) {
@@ -446,20 +361,20 @@
 			return List.of();
 		}
 		this.callerGone = true;
-		boolean mustFinish = !this.accepted.entry().idempotent() && mayHaveRun();
+		boolean mustFinish = !this.accepted.entry().idempotent() && this.attempts.mayHaveRun();
 		if (mustFinish) {
 			return List.of();
 		}
-		return Actions.concat(cancelAttempts(context, nowMillis), releaseClaim(context));
+		return Actions.concat(this.attempts.cancelAll(context, nowMillis), releaseClaim(context));
 	}
 
 	private List<NodeAction> giveUp(RefusalCode code, String message, long retryAfterMillis, FlowContext context,
 			long nowMillis) {
-		boolean run = mayHaveRun() || this.joinedBefore;
+		boolean run = this.attempts.mayHaveRun() || this.joinedBefore;
 		this.joining = false;
 		boolean keepRunning = run && !this.accepted.entry().idempotent();
-		List<NodeAction> cancelled = keepRunning ? List.of() : cancelAttempts(context, nowMillis);
-		if (this.forwarded.isPresent()) {
+		List<NodeAction> cancelled = keepRunning ? List.of() : this.attempts.cancelAll(context, nowMillis);
+		if (this.attempts.isForwarding()) {
 			return Actions.concat(cancelled, abort(code, message));
 		}
 		List<NodeAction> claim = run ? List.of() : releaseClaim(context);
@@ -467,12 +382,6 @@
 		return Actions.concat(cancelled, claim, refuse(outcome, code, message, retryAfterMillis));
 	}
 
-	private List<NodeAction> cancelAttempts(FlowContext context, long nowMillis) {
-		List<NodeAction> actions = new ArrayList<>();
-		this.attempts.forEach((attempt) -> actions.addAll(attempt.cancel(context, nowMillis)));
-		return actions;
-	}
-
 	private List<NodeAction> releaseClaim(FlowContext context) {
 		return this.claimSeeker.map((seeker) -> seeker.release(context)).orElse(List.of());
 	}
@@ -488,18 +397,8 @@
 		return List.of(new AbortAnswer(this.accepted.id(), refusal));
 	}
 
-	Stream<HeldGrant> heldGrants() {
-		return this.attempts.stream().flatMap((attempt) -> attempt.heldGrant().stream());
-	}
-
-	ShardId shardOf(HeldGrant grant, FlowContext context) {
-		return context.catalogue()
-			.shardOfTarget()
-			.getOrDefault(grant.target(), find(grant.attempt()).orElseThrow().seeker().shard());
-	}
-
-	private Optional<Attempt> find(int number) {
-		return this.attempts.stream().filter((attempt) -> attempt.number() == number).findFirst();
+	AttemptSet attempts() {
+		return this.attempts;
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestHandler.java
@@ -210,8 +210,10 @@
 	private List<NodeAction> renewals() {
 		Map<ShardId, List<HeldGrant>> held = new TreeMap<>();
 		for (RequestFlow flow : this.flows.values()) {
-			flow.heldGrants()
-				.forEach((grant) -> held.computeIfAbsent(flow.shardOf(grant, context()), (key) -> new ArrayList<>())
+			flow.attempts()
+				.heldGrants()
+				.forEach((grant) -> held
+					.computeIfAbsent(flow.attempts().shardOf(grant, context()), (key) -> new ArrayList<>())
 					.add(grant));
 		}
 		List<NodeAction> actions = new ArrayList<>();
