shared: tell the age of a heartbeat when passing it on

Ruled out: a lost OwnershipChanged (the view changes when the row goes). Change: VmHeartbeat.silenceMillis; a receiver dates the heartbeat back by it. Conclusion: hearsay adds no life.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/MembershipHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/MembershipHandler.java
@@ -239,7 +239,7 @@
 		List<VmHeartbeat> known = new ArrayList<>(this.peers.values()
 			.stream()
 			.filter((peer) -> peer.isAlive(this.domain, nowMillis))
-			.map(PeerLiveness::heartbeat)
+			.map((peer) -> peer.relayed(nowMillis))
 			.toList());
 		known.add(heartbeat());
 		return Optional.of(new SendPeer(candidates.get(this.random.nextInt(candidates.size())), gossip(known)));
@@ -251,7 +251,7 @@
 
 	private VmHeartbeat heartbeat() {
 		return new VmHeartbeat(this.self, this.domain, this.incarnationMillis, this.counter, this.draining, this.host,
-				this.port, this.catalogueRevision);
+				this.port, this.catalogueRevision, 0);
 	}
 
 	private List<NodeAction> announceIfChanged(long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
@@ -35,20 +35,32 @@
 	}
 
 	PeerLiveness(VmEntry row) {
-		this(new VmHeartbeat(row.vm(), row.domain(), 0, 0, false, row.host(), row.peerPort(), 0));
+		this(new VmHeartbeat(row.vm(), row.domain(), 0, 0, false, row.host(), row.peerPort(), 0, 0));
 	}
 
 	VmHeartbeat heartbeat() {
 		return this.heartbeat;
 	}
 
+	/**
+	 * Returns the heartbeat as it is told to others: with its age, so that hearsay never
+	 * makes a silent router look alive.
+	 * @param nowMillis the time
+	 * @return the heartbeat
+	 */
+	VmHeartbeat relayed(long nowMillis) {
+		return new VmHeartbeat(this.heartbeat.vm(), this.heartbeat.domain(), this.heartbeat.incarnation(),
+				this.heartbeat.counter(), this.heartbeat.draining(), this.heartbeat.host(), this.heartbeat.port(),
+				this.heartbeat.catalogueRevision(), nowMillis - this.heardAtMillis);
+	}
+
 	void heard(VmHeartbeat newer, long nowMillis) {
 		boolean restarted = newer.incarnation() > this.heartbeat.incarnation();
 		boolean advanced = newer.incarnation() == this.heartbeat.incarnation()
 				&& newer.counter() > this.heartbeat.counter();
 		if (restarted || advanced || this.heardAtMillis == NEVER) {
 			this.heartbeat = newer;
-			this.heardAtMillis = nowMillis;
+			this.heardAtMillis = nowMillis - newer.silenceMillis();
 		}
 		if (restarted) {
 			this.unreachableAtMillis = NEVER;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmHeartbeat.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/membership/VmHeartbeat.java
@@ -14,8 +14,9 @@
  * @param host IP address for other routers
  * @param port TCP port for other routers
  * @param catalogueRevision the newest catalogue revision that the router has in force
+ * @param silenceMillis time since the sender of this row saw the counter grow
  */
 public record VmHeartbeat(VmId vm, DomainId domain, long incarnation, long counter, boolean draining, String host,
-		int port, long catalogueRevision) {
+		int port, long catalogueRevision, long silenceMillis) {
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -71,7 +71,7 @@
 		this.settings = settings;
 		Ownership unknown = new Ownership(settings.self(), settings.domain(), Map.of());
 		VmHeartbeat heartbeat = new VmHeartbeat(settings.self(), settings.domain(), settings.incarnationMillis(), 0,
-				false, settings.host(), settings.peerPort(), 0);
+				false, settings.host(), settings.peerPort(), 0, 0);
 		this.ownership = new AtomicReference<>(unknown);
 		this.membership = new MembershipHandler(heartbeat, settings.seed());
 		this.catalogue = new CatalogueHandler(settings.self());
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Peer.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Peer.java
@@ -206,27 +206,27 @@
       "tbeats\030\001 \003(\0132\030.mustardlane.VmHeartbeat\022\032" +
       "\n\022catalogue_revision\030\002 \001(\004\022+\n\013shard_load" +
       "s\030\003 \003(\0132\026.mustardlane.ShardLoad\022\027\n\017vm_li" +
-      "st_version\030\004 \001(\004\"\231\001\n\013VmHeartbeat\022\n\n\002vm\030\001" +
+      "st_version\030\004 \001(\004\"\261\001\n\013VmHeartbeat\022\n\n\002vm\030\001" +
       " \001(\t\022\016\n\006domain\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(" +
       "\003\022\017\n\007counter\030\004 \001(\004\022\020\n\010draining\030\005 \001(\010\022\014\n\004" +
       "host\030\006 \001(\t\022\014\n\004port\030\007 \001(\r\022\032\n\022catalogue_re" +
-      "vision\030\010 \001(\004\"(\n\021CatalogueRelayAsk\022\023\n\013fro" +
-      "m_offset\030\001 \001(\004\"W\n\rRelayedRecord\022\016\n\006offse" +
-      "t\030\001 \001(\004\022\032\n\022appended_at_millis\030\002 \001(\003\022\014\n\004t" +
-      "ype\030\003 \001(\t\022\014\n\004body\030\004 \001(\014\"l\n\016CatalogueRela" +
-      "y\022\022\n\ncheckpoint\030\001 \001(\014\022\031\n\021checkpoint_offs" +
-      "et\030\002 \001(\004\022+\n\007records\030\003 \003(\0132\032.mustardlane." +
-      "RelayedRecord\"/\n\013VmListRelay\022\017\n\007version\030" +
-      "\001 \001(\004\022\017\n\007vm_list\030\002 \001(\014\"L\n\021JoinAnswerRequ" +
-      "est\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tclaim_key\030\002 \001" +
-      "(\t\022\020\n\010asker_vm\030\003 \001(\t\"P\n\013AnswerChunk\022\016\n\006s" +
-      "tatus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004dat" +
-      "a\030\003 \001(\014\022\r\n\005whole\030\004 \001(\0102\223\001\n\013PeerService\022:" +
-      "\n\004Link\022\026.mustardlane.PeerFrame\032\026.mustard" +
-      "lane.PeerFrame(\0010\001\022H\n\nJoinAnswer\022\036.musta" +
-      "rdlane.JoinAnswerRequest\032\030.mustardlane.A" +
-      "nswerChunk0\001B\034\n\030org.mustardlane.protocol" +
-      "P\001b\006proto3"
+      "vision\030\010 \001(\004\022\026\n\016silence_millis\030\t \001(\003\"(\n\021" +
+      "CatalogueRelayAsk\022\023\n\013from_offset\030\001 \001(\004\"W" +
+      "\n\rRelayedRecord\022\016\n\006offset\030\001 \001(\004\022\032\n\022appen" +
+      "ded_at_millis\030\002 \001(\003\022\014\n\004type\030\003 \001(\t\022\014\n\004bod" +
+      "y\030\004 \001(\014\"l\n\016CatalogueRelay\022\022\n\ncheckpoint\030" +
+      "\001 \001(\014\022\031\n\021checkpoint_offset\030\002 \001(\004\022+\n\007reco" +
+      "rds\030\003 \003(\0132\032.mustardlane.RelayedRecord\"/\n" +
+      "\013VmListRelay\022\017\n\007version\030\001 \001(\004\022\017\n\007vm_list" +
+      "\030\002 \001(\014\"L\n\021JoinAnswerRequest\022\022\n\nrequest_i" +
+      "d\030\001 \001(\t\022\021\n\tclaim_key\030\002 \001(\t\022\020\n\010asker_vm\030\003" +
+      " \001(\t\"P\n\013AnswerChunk\022\016\n\006status\030\001 \001(\r\022\024\n\014c" +
+      "ontent_type\030\002 \001(\t\022\014\n\004data\030\003 \001(\014\022\r\n\005whole" +
+      "\030\004 \001(\0102\223\001\n\013PeerService\022:\n\004Link\022\026.mustard" +
+      "lane.PeerFrame\032\026.mustardlane.PeerFrame(\001" +
+      "0\001\022H\n\nJoinAnswer\022\036.mustardlane.JoinAnswe" +
+      "rRequest\032\030.mustardlane.AnswerChunk0\001B\034\n\030" +
+      "org.mustardlane.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -315,7 +315,7 @@
     internal_static_mustardlane_VmHeartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_VmHeartbeat_descriptor,
-        new java.lang.String[] { "Vm", "Domain", "Incarnation", "Counter", "Draining", "Host", "Port", "CatalogueRevision", });
+        new java.lang.String[] { "Vm", "Domain", "Incarnation", "Counter", "Draining", "Host", "Port", "CatalogueRevision", "SilenceMillis", });
     internal_static_mustardlane_CatalogueRelayAsk_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_mustardlane_CatalogueRelayAsk_fieldAccessorTable = new
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeat.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeat.java
@@ -227,6 +227,21 @@
     return catalogueRevision_;
   }
 
+  public static final int SILENCE_MILLIS_FIELD_NUMBER = 9;
+  private long silenceMillis_ = 0L;
+  /**
+   * <pre>
+   * Time since the sender of this row saw the counter grow.
+   * </pre>
+   *
+   * <code>int64 silence_millis = 9;</code>
+   * @return The silenceMillis.
+   */
+  @java.lang.Override
+  public long getSilenceMillis() {
+    return silenceMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -265,6 +280,9 @@
     if (catalogueRevision_ != 0L) {
       output.writeUInt64(8, catalogueRevision_);
     }
+    if (silenceMillis_ != 0L) {
+      output.writeInt64(9, silenceMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -298,6 +316,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(8, catalogueRevision_);
     }
+    if (silenceMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, silenceMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -338,6 +360,8 @@
         != other.getPort()) return false;
     if (getCatalogueRevision()
         != other.getCatalogueRevision()) return false;
+    if (getSilenceMillis()
+        != other.getSilenceMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -369,6 +393,9 @@
     hash = (37 * hash) + CATALOGUE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCatalogueRevision());
+    hash = (37 * hash) + SILENCE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSilenceMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -508,6 +535,7 @@
       host_ = "";
       port_ = 0;
       catalogueRevision_ = 0L;
+      silenceMillis_ = 0L;
       return this;
     }
 
@@ -565,6 +593,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.catalogueRevision_ = catalogueRevision_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.silenceMillis_ = silenceMillis_;
+      }
     }
 
     @java.lang.Override
@@ -609,6 +640,9 @@
       if (other.getCatalogueRevision() != 0L) {
         setCatalogueRevision(other.getCatalogueRevision());
       }
+      if (other.getSilenceMillis() != 0L) {
+        setSilenceMillis(other.getSilenceMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -673,6 +707,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              silenceMillis_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1078,6 +1117,50 @@
       return this;
     }
 
+    private long silenceMillis_ ;
+    /**
+     * <pre>
+     * Time since the sender of this row saw the counter grow.
+     * </pre>
+     *
+     * <code>int64 silence_millis = 9;</code>
+     * @return The silenceMillis.
+     */
+    @java.lang.Override
+    public long getSilenceMillis() {
+      return silenceMillis_;
+    }
+    /**
+     * <pre>
+     * Time since the sender of this row saw the counter grow.
+     * </pre>
+     *
+     * <code>int64 silence_millis = 9;</code>
+     * @param value The silenceMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSilenceMillis(long value) {
+
+      silenceMillis_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the sender of this row saw the counter grow.
+     * </pre>
+     *
+     * <code>int64 silence_millis = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSilenceMillis() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      silenceMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.VmHeartbeat)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeatOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeatOrBuilder.java
@@ -79,4 +79,14 @@
    * @return The catalogueRevision.
    */
   long getCatalogueRevision();
+
+  /**
+   * <pre>
+   * Time since the sender of this row saw the counter grow.
+   * </pre>
+   *
+   * <code>int64 silence_millis = 9;</code>
+   * @return The silenceMillis.
+   */
+  long getSilenceMillis();
 }
