Grant the slots of owned shards under a load bound

A first whole way: bounded-load rendezvous or round robin behind TargetChoice, a fifo queue behind AskQueue, renewal and lapse of grants, warm-up of new owners, polls of targets, ShardLoad to the owners of the pool's other shards.

--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AskQueue.java
@@ -0,0 +1,58 @@
+package org.mustardlane.core.admission;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Orders the asks that wait in one shard.
+ */
+interface AskQueue {
+
+	/**
+	 * Adds an ask.
+	 * @param pending the ask
+	 */
+	void add(PendingAsk pending);
+
+	/**
+	 * Tells whether an ask waits.
+	 * @param key the ask
+	 * @return true if it waits
+	 */
+	boolean contains(AskKey key);
+
+	/**
+	 * Removes an ask.
+	 * @param key the ask
+	 * @return the ask, or empty where it does not wait
+	 */
+	Optional<PendingAsk> remove(AskKey key);
+
+	/**
+	 * Removes the first ask, in the order of this queue, that is placed.
+	 * @param placed tries to place an ask
+	 * @return whether an ask was placed
+	 */
+	boolean removeFirst(Predicate<PendingAsk> placed);
+
+	/**
+	 * Removes the asks that can no longer meet their deadline.
+	 * @param nowMillis the time
+	 * @return the asks
+	 */
+	List<PendingAsk> removeLate(long nowMillis);
+
+	/**
+	 * Removes all asks.
+	 * @return the asks, in the order of this queue
+	 */
+	List<PendingAsk> removeAll();
+
+	/**
+	 * Returns the number of asks.
+	 * @return the number of asks
+	 */
+	int size();
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
@@ -0,0 +1,127 @@
+package org.mustardlane.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.mustardlane.core.message.ShardLoad;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.VmId;
+
+/**
+ * The load of a whole pool: the shards owned here, and what other owners have told.
+ *
+ * <p>
+ * Guarded by the lock of the handler.
+ */
+final class PoolLoad {
+
+	private static final int PERCENT = 100;
+
+	private final List<Shard> ownShards = new ArrayList<>();
+
+	private final Map<ShardId, HeardLoad> heardLoads = new HashMap<>();
+
+	private Set<VmId> peers = Set.of();
+
+	private int boundPercent;
+
+	private int heardGranted;
+
+	private int heardOpenTargets;
+
+	/**
+	 * Returns the other routers that own shards of the pool.
+	 * @return the routers
+	 */
+	Set<VmId> peers() {
+		return this.peers;
+	}
+
+	void setPeers(Set<VmId> peers) {
+		this.peers = Set.copyOf(peers);
+	}
+
+	void setBoundPercent(int percent) {
+		this.boundPercent = percent;
+	}
+
+	void setOwnShards(List<Shard> shards) {
+		this.ownShards.clear();
+		this.ownShards.addAll(shards);
+		this.ownShards.forEach((shard) -> this.heardLoads.remove(shard.id()));
+		sum();
+	}
+
+	/**
+	 * Takes the load of a shard of another owner.
+	 * @param load the load
+	 * @param expiryMillis until when it counts
+	 * @return whether it is news
+	 */
+	boolean hear(ShardLoad load, long expiryMillis) {
+		HeardLoad known = this.heardLoads.get(load.shard());
+		if ((known != null && known.load().version() >= load.version()) || owns(load.shard())) {
+			return false;
+		}
+		this.heardLoads.put(load.shard(), new HeardLoad(load, expiryMillis));
+		sum();
+		return true;
+	}
+
+	private boolean owns(ShardId shard) {
+		return this.ownShards.stream().anyMatch((own) -> own.id().equals(shard));
+	}
+
+	void forgetOld(long nowMillis) {
+		if (this.heardLoads.values().removeIf((heard) -> heard.expiryMillis() < nowMillis)) {
+			sum();
+		}
+	}
+
+	private void sum() {
+		Collection<HeardLoad> heard = this.heardLoads.values();
+		this.heardGranted = heard.stream().mapToInt((entry) -> entry.load().granted()).sum();
+		this.heardOpenTargets = heard.stream().mapToInt((entry) -> entry.load().openTargets()).sum();
+	}
+
+	Optional<ShardLoad> heard(ShardId shard) {
+		return Optional.ofNullable(this.heardLoads.get(shard)).map(HeardLoad::load);
+	}
+
+	int granted(long nowMillis) {
+		int granted = this.heardGranted;
+		for (Shard shard : this.ownShards) {
+			granted += shard.openLoad(nowMillis);
+		}
+		return granted;
+	}
+
+	int openTargets() {
+		int openTargets = this.heardOpenTargets;
+		for (Shard shard : this.ownShards) {
+			openTargets += shard.openTargets();
+		}
+		return openTargets;
+	}
+
+	/**
+	 * Returns the load bound: the most grants that one target may hold after a new grant.
+	 * @param nowMillis the time
+	 * @return the bound; at least one
+	 */
+	int bound(long nowMillis) {
+		long targets = Math.max(1, openTargets());
+		long scaled = (long) this.boundPercent * (granted(nowMillis) + 1);
+		return (int) ((scaled + PERCENT * targets - 1) / (PERCENT * targets));
+	}
+
+	private record HeardLoad(ShardLoad load, long expiryMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -0,0 +1,205 @@
+package org.mustardlane.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+
+/**
+ * The targets, grants and queue of one shard.
+ *
+ * <p>
+ * Guarded by the lock of the handler.
+ */
+final class Shard {
+
+	private final ShardId id;
+
+	private final PoolLoad pool;
+
+	private final AskQueue queue;
+
+	private final Map<AskKey, Grant> grants = new HashMap<>();
+
+	private Map<TargetId, TargetSlots> targets = new LinkedHashMap<>();
+
+	private boolean owned;
+
+	private int openTargets;
+
+	private int openSlots;
+
+	private int openGranted;
+
+	private long warmUpEndMillis;
+
+	private int routerSharePercent = 100;
+
+	Shard(ShardId id, PoolLoad pool, AskQueue queue) {
+		this.id = id;
+		this.pool = pool;
+		this.queue = queue;
+	}
+
+	ShardId id() {
+		return this.id;
+	}
+
+	PoolLoad pool() {
+		return this.pool;
+	}
+
+	AskQueue queue() {
+		return this.queue;
+	}
+
+	boolean owned() {
+		return this.owned;
+	}
+
+	void setOwned(boolean owned) {
+		this.owned = owned;
+	}
+
+	Collection<TargetSlots> targets() {
+		return this.targets.values();
+	}
+
+	Optional<TargetSlots> target(TargetId target) {
+		return Optional.ofNullable(this.targets.get(target));
+	}
+
+	/**
+	 * Takes the targets of a newer catalogue; what is known of those that stay is kept.
+	 * @param members the targets
+	 * @return the targets that are new here
+	 */
+	List<TargetSlots> setTargets(List<Target> members) {
+		Map<TargetId, TargetSlots> next = new LinkedHashMap<>();
+		List<TargetSlots> added = new ArrayList<>();
+		for (Target member : members) {
+			TargetSlots known = this.targets.get(member.id());
+			TargetSlots slots = (known != null && known.target().equals(member)) ? known : new TargetSlots(member);
+			next.put(member.id(), slots);
+			if (slots != known) {
+				added.add(slots);
+				this.grants.values()
+					.stream()
+					.filter((grant) -> grant.target().equals(member.id()))
+					.forEach((grant) -> slots.adoptGrant(grant.serviceClass()));
+			}
+		}
+		this.targets = next;
+		recount();
+		return added;
+	}
+
+	/**
+	 * Counts the open targets and their grants again, after one was opened or closed.
+	 */
+	void recount() {
+		this.openTargets = 0;
+		this.openSlots = 0;
+		this.openGranted = 0;
+		this.warmUpEndMillis = 0;
+		for (TargetSlots slots : this.targets.values()) {
+			this.warmUpEndMillis = Math.max(this.warmUpEndMillis, slots.warmUpEndMillis());
+			if (slots.isOpen()) {
+				this.openTargets++;
+				this.openSlots += slots.target().slots();
+				this.openGranted += slots.granted();
+			}
+		}
+	}
+
+	int openTargets() {
+		return this.openTargets;
+	}
+
+	int openSlots() {
+		return this.openSlots;
+	}
+
+	/**
+	 * Returns the load of the open targets for the mean of the pool.
+	 * @param nowMillis the time
+	 * @return the grants, and during a warm-up what is reported where that is more
+	 */
+	int openLoad(long nowMillis) {
+		if (nowMillis >= this.warmUpEndMillis) {
+			return this.openGranted;
+		}
+		int load = 0;
+		for (TargetSlots slots : this.targets.values()) {
+			load += slots.isOpen() ? slots.load(nowMillis) : 0;
+		}
+		return load;
+	}
+
+	/**
+	 * Returns the part of the capacity that this owner may grant.
+	 * @return the part in percent; below 100 where routers of the failure domain that may
+	 * own the shard too are out of sight
+	 */
+	int routerSharePercent() {
+		return this.routerSharePercent;
+	}
+
+	void setRouterSharePercent(int percent) {
+		this.routerSharePercent = percent;
+	}
+
+	Collection<Grant> grants() {
+		return this.grants.values();
+	}
+
+	Optional<Grant> grant(AskKey key) {
+		return Optional.ofNullable(this.grants.get(key));
+	}
+
+	void addGrant(Grant grant) {
+		this.grants.put(grant.key(), grant);
+		target(grant.target()).ifPresent((slots) -> {
+			slots.addGrant(grant.serviceClass());
+			this.openGranted += slots.isOpen() ? 1 : 0;
+		});
+	}
+
+	/**
+	 * Counts a grant that an earlier owner gave.
+	 * @param grant the grant
+	 */
+	void adoptGrant(Grant grant) {
+		this.grants.put(grant.key(), grant);
+		target(grant.target()).ifPresent((slots) -> {
+			slots.adoptGrant(grant.serviceClass());
+			this.openGranted += slots.isOpen() ? 1 : 0;
+		});
+	}
+
+	void renewGrant(Grant grant, long expiryMillis) {
+		this.grants.put(grant.key(), grant.renewedUntil(expiryMillis));
+	}
+
+	void removeGrant(Grant grant) {
+		if (!this.grants.remove(grant.key(), grant)) {
+			return;
+		}
+		target(grant.target()).ifPresent((slots) -> {
+			slots.removeGrant(grant.serviceClass());
+			this.openGranted -= slots.isOpen() ? 1 : 0;
+		});
+	}
+
+	List<Grant> lapsedGrants(long nowMillis) {
+		return this.grants.values().stream().filter((grant) -> grant.expiryMillis() < nowMillis).toList();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/AdmissionHandlerTests.java
@@ -0,0 +1,201 @@
+package org.mustardlane.core.admission;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import org.mustardlane.core.event.DrainRequested;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerUnreachable;
+import org.mustardlane.core.event.PollTarget;
+import org.mustardlane.core.event.VmListRead;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantAsk;
+import org.mustardlane.core.message.GrantRenewal;
+import org.mustardlane.core.message.GrantVerdict;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.VmEntry;
+import org.mustardlane.core.model.membership.VmList;
+import org.mustardlane.core.model.membership.VmState;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of {@link AdmissionHandler}.
+ */
+public class AdmissionHandlerTests {
+
+	private static final VmId OTHER = new VmId("router-9");
+
+	@Test
+	public void grantsTheSameTargetToAReturningChat() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 4, 8);
+		Set<TargetId> homes = new HashSet<>();
+		for (int i = 0; i < 5; i++) {
+			GrantAnswer answer = fixture.granted(fixture.newAsk(3));
+			homes.add(answer.target().orElseThrow());
+			fixture.release(answer);
+		}
+		assertEquals(homes.size(), 1);
+	}
+
+	@Test
+	public void grantsNoTargetAboveItsSlots() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 2, 3);
+		int granted = 0;
+		for (int i = 0; i < 10; i++) {
+			granted += fixture.ask(fixture.newAsk(i)).isPresent() ? 1 : 0;
+		}
+		assertEquals(granted, 6);
+	}
+
+	@Test
+	public void releaseServesTheQueue() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		GrantAnswer first = fixture.granted(fixture.newAsk(1));
+		GrantAsk second = fixture.newAsk(2);
+		assertTrue(fixture.ask(second).isEmpty());
+		fixture.release(first);
+		assertEquals(fixture.answerTo(second).map(GrantAnswer::verdict), Optional.of(GrantVerdict.GRANTED));
+	}
+
+	@Test
+	public void secondAskOfAnAttemptIsAnsweredAlikeAndGrantedOnce() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 2);
+		GrantAsk ask = fixture.newAsk(1);
+		assertEquals(fixture.granted(ask), fixture.granted(ask));
+		assertTrue(fixture.ask(fixture.newAsk(2)).isPresent());
+	}
+
+	@Test
+	public void withdrawnAskIsNeverGranted() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		GrantAnswer first = fixture.granted(fixture.newAsk(1));
+		GrantAsk withdrawn = fixture.newAsk(2);
+		fixture.ask(withdrawn);
+		fixture.withdraw(withdrawn);
+		fixture.release(first);
+		assertTrue(fixture.answerTo(withdrawn).isEmpty());
+	}
+
+	@Test
+	public void grantThatNobodyRenewsLapses() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		fixture.granted(fixture.newAsk(1));
+		GrantAsk second = fixture.newAsk(2);
+		fixture.ask(second);
+		fixture.advance(3200);
+		assertTrue(fixture.answerTo(second).isPresent());
+	}
+
+	@Test
+	public void renewedGrantStays() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		GrantAnswer first = fixture.granted(fixture.newAsk(1));
+		GrantAsk second = fixture.newAsk(2);
+		fixture.ask(second);
+		for (int i = 0; i < 6; i++) {
+			fixture.advance(1000);
+			fixture.receive(new GrantRenewal(AdmissionFixture.SHARD, List.of(held(first))));
+		}
+		assertTrue(fixture.answerTo(second).isEmpty());
+	}
+
+	private static HeldGrant held(GrantAnswer answer) {
+		return new HeldGrant(answer.grantId(), answer.target().orElseThrow(), answer.requestId(), answer.attempt(),
+				AdmissionFixture.ORGANISATION, ServiceClass.INTERACTIVE);
+	}
+
+	@Test
+	public void answerThatCannotBeDeliveredFreesItsGrant() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		GrantAnswer first = fixture.granted(fixture.newAsk(1));
+		fixture.take(new PeerUnreachable(OTHER, first));
+		assertTrue(fixture.ask(fixture.newAsk(2)).isPresent());
+	}
+
+	@Test
+	public void reportedLeavingTargetGetsNoNewGrant() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 2, 8);
+		fixture.report(0, 0, true);
+		for (int i = 0; i < 8; i++) {
+			assertEquals(fixture.granted(fixture.newAsk(i)).target(), Optional.of(AdmissionFixture.target(1)));
+		}
+	}
+
+	@Test
+	public void listedLeavingTargetGetsNoNewGrantUntilItIsListedLive() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 8);
+		fixture.take(new VmListRead(targetRow(VmState.LEAVING)));
+		GrantAsk ask = fixture.newAsk(1);
+		assertFalse(fixture.ask(ask).filter((answer) -> answer.verdict() == GrantVerdict.GRANTED).isPresent());
+		fixture.take(new VmListRead(targetRow(VmState.LIVE)));
+		assertEquals(fixture.granted(fixture.newAsk(1)).verdict(), GrantVerdict.GRANTED);
+	}
+
+	private static VmList targetRow(VmState state) {
+		VmId vm = new VmId(AdmissionFixture.target(0).value());
+		return new VmList(1, List.of(new VmEntry(vm, AdmissionFixture.DOMAIN, "127.0.0.1", 0, state)));
+	}
+
+	@Test
+	public void lostShardHandsItsQueueBack() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		fixture.granted(fixture.newAsk(1));
+		GrantAsk waiting = fixture.newAsk(2);
+		fixture.ask(waiting);
+		fixture.take(new OwnershipChanged(AdmissionFixture.ownership(AdmissionFixture.SELF, OTHER)));
+		assertEquals(fixture.answerTo(waiting).map(GrantAnswer::verdict), Optional.of(GrantVerdict.NOT_OWNER));
+		assertEquals(fixture.granted(fixture.newAsk(3)).verdict(), GrantVerdict.NOT_OWNER);
+	}
+
+	@Test
+	public void drainingRouterHandsItsQueueBack() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		fixture.granted(fixture.newAsk(1));
+		GrantAsk waiting = fixture.newAsk(2);
+		fixture.ask(waiting);
+		fixture.take(new DrainRequested(fixture.now() + 10_000));
+		assertEquals(fixture.answerTo(waiting).map(GrantAnswer::verdict), Optional.of(GrantVerdict.NOT_OWNER));
+	}
+
+	@Test
+	public void newOwnerGrantsOnlyWhatReportsShowToBeFree() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 4);
+		fixture.take(new OwnershipChanged(AdmissionFixture.ownership(AdmissionFixture.SELF, OTHER)));
+		fixture.take(new OwnershipChanged(AdmissionFixture.ownership(AdmissionFixture.SELF, AdmissionFixture.SELF)));
+		assertTrue(fixture.ask(fixture.newAsk(1)).isEmpty());
+		fixture.report(0, 3, false);
+		assertEquals(fixture.answers().size(), 1);
+		assertTrue(fixture.ask(fixture.newAsk(2)).isEmpty());
+		fixture.advance(1600);
+		assertEquals(fixture.answers().size(), 2);
+	}
+
+	@Test
+	public void pollsEachTargetAboutOnceASecond() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 3, 4);
+		fixture.otherActions().clear();
+		fixture.advance(10_000);
+		long polls = fixture.otherActions().stream().filter(PollTarget.class::isInstance).count();
+		assertEquals(polls, 30);
+	}
+
+	@Test
+	public void askThatCannotMeetItsDeadlineIsRefusedAtOnce() {
+		AdmissionFixture fixture = AdmissionFixture.warm(AdmissionPolicy.BOUNDED, 1, 1);
+		fixture.granted(fixture.newAsk(1));
+		GrantAnswer answer = fixture.granted(fixture.newAsk(ServiceClass.INTERACTIVE, "org-1", 1, 100, 50));
+		assertEquals(answer.verdict(), GrantVerdict.REFUSED);
+		assertTrue(answer.retryAfterMillis() > 0);
+	}
+
+}
