--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -1,31 +1,178 @@
 package org.mustardlane.core.catalogue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
+import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.FollowStream;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.PublishRequested;
+import org.mustardlane.core.event.RaiseEvent;
+import org.mustardlane.core.event.RecordEvent;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.message.CatalogueRelay;
+import org.mustardlane.core.message.CatalogueRelayAsk;
+import org.mustardlane.core.message.Gossip;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.LockRank;
+import org.mustardlane.core.model.common.RankedLock;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.log.LogRecord;
+import org.mustardlane.core.model.log.StreamName;
+import org.mustardlane.core.model.timeline.TimelineEvent;
 
 /**
  * Folds the catalogue out of the log and publishes changes.
  */
 public final class CatalogueHandler implements EventHandler {
 
+	private static final long RELAY_ASK_INTERVAL_MILLIS = 200;
+
+	private static final long GAP_MILLIS = 2_000;
+
+	private final RankedLock lock = new RankedLock(LockRank.CATALOGUE);
+
 	private final VmId self;
 
+	private final CatalogueLog log = new CatalogueLog();
+
+	private final PublishTable publishes;
+
+	private final CheckpointSchedule checkpoints;
+
+	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
+
+	private boolean following;
+
+	private boolean complete;
+
+	private long nextRelayAskMillis;
+
+	private long gapDeadlineMillis = Long.MAX_VALUE;
+
 	/**
 	 * Creates the handler.
 	 * @param self this router
 	 */
 	public CatalogueHandler(VmId self) {
+		this(self, CatalogueSettings.DEFAULT);
+	}
+
+	/**
+	 * Creates the handler with settings.
+	 * @param self this router
+	 * @param settings the settings
+	 */
+	public CatalogueHandler(VmId self, CatalogueSettings settings) {
 		this.self = self;
+		this.publishes = new PublishTable(settings);
+		this.checkpoints = new CheckpointSchedule(self, settings);
 	}
 
 	@Override
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
-		return List.of();
+		return this.lock.locked(() -> {
+			List<NodeAction> actions = new ArrayList<>();
+			if (event instanceof Tick) {
+				tick(nowMillis, actions);
+			}
+			else if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.CATALOGUE)) {
+				recordsRead(read, nowMillis, actions);
+			}
+			else if (event instanceof LogAppendEnded ended && ended.stream().equals(StreamName.CATALOGUE)) {
+				actions.addAll(this.publishes.appendEnded(ended, nowMillis));
+			}
+			else if (event instanceof PublishRequested request) {
+				actions.addAll(this.publishes.request(request, nowMillis));
+				advancePublishes(nowMillis, actions);
+			}
+			else if (event instanceof PeerMessageReceived received) {
+				peerMessage(received, nowMillis, actions);
+			}
+			else if (event instanceof OwnershipChanged changed) {
+				this.checkpoints.ownershipChanged(changed.ownership());
+			}
+			return actions;
+		});
+	}
+
+	private void tick(long nowMillis, List<NodeAction> actions) {
+		if (!this.following || nowMillis >= this.gapDeadlineMillis) {
+			this.following = true;
+			this.gapDeadlineMillis = Long.MAX_VALUE;
+			actions.add(new FollowStream(StreamName.CATALOGUE, this.log.state().nextOffset()));
+		}
+		advancePublishes(nowMillis, actions);
+		if (this.complete) {
+			this.checkpoints.due(this.log, nowMillis).ifPresent(actions::add);
+		}
+	}
+
+	private void recordsRead(LogRecordsRead read, long nowMillis, List<NodeAction> actions) {
+		acceptRecords(read.records(), nowMillis, actions);
+		this.complete = read.atEnd() ? !this.log.hasGap() : this.complete;
+		advancePublishes(nowMillis, actions);
+	}
+
+	private void acceptRecords(List<LogRecord> records, long nowMillis, List<NodeAction> actions) {
+		boolean changed = this.log.accept(records);
+		watchGap(nowMillis);
+		this.log.takeNotes().forEach((note) -> actions.add(event(note.kind(), note.detail())));
+		if (changed) {
+			this.snapshot = this.log.state().snapshot();
+			actions.add(event("catalogue-changed", "revision " + this.snapshot.revision()));
+			actions.add(new RaiseEvent(new CatalogueChanged(this.snapshot)));
+		}
+		advancePublishes(nowMillis, actions);
+	}
+
+	private void watchGap(long nowMillis) {
+		if (!this.log.hasGap()) {
+			this.gapDeadlineMillis = Long.MAX_VALUE;
+		}
+		else if (this.gapDeadlineMillis == Long.MAX_VALUE) {
+			this.gapDeadlineMillis = nowMillis + GAP_MILLIS;
+		}
+	}
+
+	private void advancePublishes(long nowMillis, List<NodeAction> actions) {
+		if (!this.publishes.isEmpty()) {
+			actions.addAll(this.publishes.advance(this.log.state(), this.complete, nowMillis));
+		}
+	}
+
+	private void peerMessage(PeerMessageReceived received, long nowMillis, List<NodeAction> actions) {
+		if (received.message() instanceof Gossip gossip) {
+			askIfBehind(received.sender(), gossip.catalogueRevision(), nowMillis, actions);
+		}
+		else if (received.message() instanceof CatalogueRelayAsk ask) {
+			List<LogRecord> records = this.log.relayFrom(ask.fromOffset());
+			if (!records.isEmpty()) {
+				actions.add(new SendPeer(received.sender(), new CatalogueRelay(records)));
+			}
+		}
+		else if (received.message() instanceof CatalogueRelay relay) {
+			acceptRecords(relay.records(), nowMillis, actions);
+		}
+	}
+
+	private void askIfBehind(VmId peer, long peerRevision, long nowMillis, List<NodeAction> actions) {
+		if (peerRevision > this.log.state().revision() && nowMillis >= this.nextRelayAskMillis) {
+			this.nextRelayAskMillis = nowMillis + RELAY_ASK_INTERVAL_MILLIS;
+			actions.add(new SendPeer(peer, new CatalogueRelayAsk(this.log.state().nextOffset())));
+		}
+	}
+
+	private RecordEvent event(String kind, String detail) {
+		return new RecordEvent(new TimelineEvent(0, this.self.value(), "", kind, StreamName.CATALOGUE.value(), detail));
 	}
 
 	/**
@@ -33,7 +180,26 @@
 	 * @return the catalogue
 	 */
 	public CatalogueSnapshot snapshot() {
-		return CatalogueSnapshot.EMPTY;
+		return this.snapshot;
+	}
+
+	/**
+	 * Returns the newest changes that were read from the log.
+	 * @return the changes, oldest first
+	 */
+	public List<HistoryRow> history() {
+		return this.lock.locked(() -> this.log.state().history());
+	}
+
+	/**
+	 * Returns a catalogue as YAML, in the form of a change against itself.
+	 * @param revision the revision, 0 for the newest
+	 * @return the YAML, or empty where the revision is not among the newest ones
+	 */
+	public Optional<String> toYaml(long revision) {
+		Optional<CatalogueState> state = this.lock
+			.locked(() -> (revision == 0) ? Optional.of(this.log.state()) : this.log.stateAt(revision));
+		return state.map(CatalogueYaml::write);
 	}
 
 }
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PendingPublish.java
@@ -0,0 +1,55 @@
+package org.mustardlane.core.catalogue;
+
+/**
+ * A change that an operator waits for.
+ *
+ * @param changeId names the change
+ * @param author who publishes it
+ * @param parsed the change
+ * @param deadlineMillis when the operator gives up
+ * @param stage how far it has come
+ * @param dueMillis with {@code CHECKING}: when references that do not hold are final;
+ * with {@code LOST_ANSWER}: when it is appended again
+ * @param ambiguous whether the answer of an append was ever lost
+ */
+record PendingPublish(String changeId, String author, ParsedChange parsed, long deadlineMillis, Stage stage,
+		long dueMillis, boolean ambiguous) {
+
+	PendingPublish at(Stage next, long nextDueMillis) {
+		return new PendingPublish(this.changeId, this.author, this.parsed, this.deadlineMillis, next, nextDueMillis,
+				this.ambiguous || next == Stage.LOST_ANSWER);
+	}
+
+	PendingPublish until(long laterDeadlineMillis) {
+		return new PendingPublish(this.changeId, this.author, this.parsed,
+				Math.max(this.deadlineMillis, laterDeadlineMillis), this.stage, this.dueMillis, this.ambiguous);
+	}
+
+	/**
+	 * How far a change has come.
+	 */
+	enum Stage {
+
+		/**
+		 * Nothing was appended; the catalogue is not known well enough to check it.
+		 */
+		CHECKING,
+
+		/**
+		 * It is being appended.
+		 */
+		APPENDING,
+
+		/**
+		 * It is in the log and has not been read back yet.
+		 */
+		APPENDED,
+
+		/**
+		 * It may be in the log.
+		 */
+		LOST_ANSWER
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishTable.java
@@ -0,0 +1,178 @@
+package org.mustardlane.core.catalogue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mustardlane.core.catalogue.PendingPublish.Stage;
+import org.mustardlane.core.event.AppendLog;
+import org.mustardlane.core.event.AppendResult;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.PublishEnded;
+import org.mustardlane.core.event.PublishRequested;
+import org.mustardlane.core.model.catalogue.Finding;
+import org.mustardlane.core.model.catalogue.PublishResult;
+import org.mustardlane.core.model.catalogue.PublishVerdict;
+import org.mustardlane.core.model.log.RecordBody;
+import org.mustardlane.core.model.log.StreamName;
+
+/**
+ * The changes that operators wait for on this router.
+ *
+ * <p>
+ * A change is settled only by what the log says of its change id. Guarded by the lock of
+ * the handler.
+ */
+final class PublishTable {
+
+	private static final String APPEND_PREFIX = "catalogue-change-";
+
+	private final Map<String, PendingPublish> pending = new LinkedHashMap<>();
+
+	private final CatalogueSettings settings;
+
+	PublishTable(CatalogueSettings settings) {
+		this.settings = settings;
+	}
+
+	boolean isEmpty() {
+		return this.pending.isEmpty();
+	}
+
+	/**
+	 * Takes a change from an operator; {@link #advance} carries it on.
+	 * @param request the change
+	 * @param nowMillis the time
+	 * @return the answer, where it needs no look at the log
+	 */
+	List<NodeAction> request(PublishRequested request, long nowMillis) {
+		String changeId = request.change().changeId();
+		if (this.pending.containsKey(changeId)) {
+			this.pending.computeIfPresent(changeId, (id, waiting) -> waiting.until(request.deadlineMillis()));
+			return List.of();
+		}
+		ParsedChange parsed = ChangeParser.parse(request.change().yaml());
+		if (!parsed.findings().isEmpty()) {
+			return List.of(new PublishEnded(changeId, rejected(parsed.findings())));
+		}
+		this.pending.put(changeId, new PendingPublish(changeId, request.change().author(), parsed,
+				request.deadlineMillis(), Stage.CHECKING, nowMillis + this.settings.referenceGraceMillis(), false));
+		return List.of();
+	}
+
+	/**
+	 * Takes the end of an append.
+	 * @param ended the end
+	 * @param nowMillis the time
+	 * @return the answer to the operator, where the change is certainly not in the log
+	 */
+	List<NodeAction> appendEnded(LogAppendEnded ended, long nowMillis) {
+		if (!ended.appendId().startsWith(APPEND_PREFIX)) {
+			return List.of();
+		}
+		String changeId = ended.appendId().substring(APPEND_PREFIX.length());
+		PendingPublish waiting = this.pending.get(changeId);
+		if (waiting == null || waiting.stage() == Stage.APPENDED) {
+			return List.of();
+		}
+		if (ended.result() == AppendResult.APPENDED) {
+			this.pending.put(changeId, waiting.at(Stage.APPENDED, 0));
+			return List.of();
+		}
+		if (ended.result() == AppendResult.REJECTED && !waiting.ambiguous()) {
+			return List.of(end(changeId, result(PublishVerdict.UNAVAILABLE)));
+		}
+		this.pending.put(changeId, waiting.at(Stage.LOST_ANSWER, nowMillis + this.settings.appendRetryMillis()));
+		return List.of();
+	}
+
+	/**
+	 * Carries the changes on.
+	 * @param state the catalogue
+	 * @param complete whether the state holds the log as it was a moment ago
+	 * @param nowMillis the time
+	 * @return appends and answers to operators
+	 */
+	List<NodeAction> advance(CatalogueState state, boolean complete, long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		for (PendingPublish waiting : List.copyOf(this.pending.values())) {
+			advance(waiting, state, complete, nowMillis).ifPresent(actions::add);
+		}
+		return actions;
+	}
+
+	private Optional<NodeAction> advance(PendingPublish waiting, CatalogueState state, boolean complete,
+			long nowMillis) {
+		Optional<HistoryRow> row = state.find(waiting.changeId());
+		if (row.isPresent()) {
+			return Optional.of(end(waiting.changeId(), resultOf(row.get())));
+		}
+		if (nowMillis >= waiting.deadlineMillis()) {
+			boolean untouched = waiting.stage() == Stage.CHECKING;
+			return Optional
+				.of(end(waiting.changeId(), result(untouched ? PublishVerdict.UNAVAILABLE : PublishVerdict.UNKNOWN)));
+		}
+		if (waiting.stage() == Stage.CHECKING && complete) {
+			return check(waiting, state, nowMillis);
+		}
+		if (waiting.stage() == Stage.LOST_ANSWER && nowMillis >= waiting.dueMillis()) {
+			return Optional.of(append(waiting));
+		}
+		return Optional.empty();
+	}
+
+	private Optional<NodeAction> check(PendingPublish waiting, CatalogueState state, long nowMillis) {
+		CatalogueDelta delta = waiting.parsed().delta().orElseThrow();
+		Optional<Long> winner = knownWinner(state, delta);
+		if (winner.isPresent()) {
+			return Optional
+				.of(end(waiting.changeId(), new PublishResult(PublishVerdict.LOST_RACE, 0, winner.get(), List.of())));
+		}
+		List<ReferenceRules.Violation> violations = ReferenceRules.check(state.with(delta, state.nextOffset()));
+		if (violations.isEmpty()) {
+			return Optional.of(append(waiting));
+		}
+		if (nowMillis < waiting.dueMillis()) {
+			return Optional.empty();
+		}
+		List<Finding> findings = violations.stream().map(waiting.parsed()::locate).toList();
+		return Optional.of(end(waiting.changeId(), rejected(findings)));
+	}
+
+	private static Optional<Long> knownWinner(CatalogueState state, CatalogueDelta delta) {
+		boolean behind = delta.baseRevisions().values().stream().anyMatch((base) -> base >= state.nextOffset());
+		return behind ? Optional.empty() : state.winnerOver(delta);
+	}
+
+	private NodeAction append(PendingPublish waiting) {
+		this.pending.put(waiting.changeId(), waiting.at(Stage.APPENDING, 0));
+		PublishedChange change = new PublishedChange(waiting.changeId(), waiting.author(),
+				waiting.parsed().delta().orElseThrow());
+		RecordBody body = new RecordBody(RecordType.CHANGE, RecordCodec.encode(change));
+		return new AppendLog(StreamName.CATALOGUE, APPEND_PREFIX + waiting.changeId(), List.of(body));
+	}
+
+	private PublishEnded end(String changeId, PublishResult result) {
+		this.pending.remove(changeId);
+		return new PublishEnded(changeId, result);
+	}
+
+	private static PublishResult resultOf(HistoryRow row) {
+		if (row.verdict() == ChangeVerdict.ACCEPTED) {
+			return new PublishResult(PublishVerdict.ACCEPTED, row.revision(), 0, List.of());
+		}
+		return new PublishResult(PublishVerdict.LOST_RACE, 0, row.winnerRevision(), List.of());
+	}
+
+	private static PublishResult result(PublishVerdict verdict) {
+		return new PublishResult(verdict, 0, 0, List.of());
+	}
+
+	private static PublishResult rejected(List<Finding> findings) {
+		return new PublishResult(PublishVerdict.REJECTED, 0, 0, findings);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishedChange.java
@@ -0,0 +1,12 @@
+package org.mustardlane.core.catalogue;
+
+/**
+ * The content of a record that holds a catalogue change.
+ *
+ * @param changeId names the change; the same in every retry
+ * @param author who publishes it
+ * @param delta what changes
+ */
+public record PublishedChange(String changeId, String author, CatalogueDelta delta) {
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/RecordCodec.java
@@ -0,0 +1,191 @@
+package org.mustardlane.core.catalogue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.function.Function;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.TargetId;
+
+/**
+ * Encodes and decodes the bodies of the records in the catalogue's stream.
+ *
+ * <p>
+ * A body that breaks a rule of {@link ItemRules} is corrupt, so that every process passes
+ * over the same records. Thread-safe: all methods are pure functions.
+ */
+final class RecordCodec {
+
+	private static final int MAX_STATE_BYTES = 1 << 26;
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES,
+				DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES,
+				DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES,
+				DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+		.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+		.addModule(identifiers())
+		.build();
+
+	private RecordCodec() {
+	}
+
+	private static SimpleModule identifiers() {
+		SimpleModule module = new SimpleModule();
+		register(module, OrganisationId.class, OrganisationId::new);
+		register(module, TargetId.class, TargetId::new);
+		register(module, PoolId.class, PoolId::new);
+		register(module, DomainId.class, DomainId::new);
+		register(module, EntryName.class, EntryName::new);
+		return module;
+	}
+
+	private static <T> void register(SimpleModule module, Class<T> type, Function<String, T> constructor) {
+		module.addSerializer(type, new IdentifierSerializer<>(type));
+		module.addDeserializer(type, new IdentifierDeserializer<>(type, constructor));
+	}
+
+	static byte[] encode(PublishedChange change) {
+		return write(change);
+	}
+
+	static byte[] encode(CatalogueState state) {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (GZIPOutputStream compressed = new GZIPOutputStream(bytes)) {
+			compressed.write(write(StoredState.of(state)));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return bytes.toByteArray();
+	}
+
+	private static byte[] write(Object value) {
+		try {
+			return MAPPER.writeValueAsBytes(value);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	static PublishedChange decodeChange(byte[] body) throws CorruptRecordException {
+		PublishedChange change = read(body, PublishedChange.class);
+		CatalogueDelta delta = change.delta();
+		requireValid(delta.organisations(), ItemRules::check);
+		requireValid(delta.targets(), ItemRules::check);
+		requireValid(delta.entries(), ItemRules::check);
+		requireValid(delta.removals(), ItemRules::check);
+		return change;
+	}
+
+	static CatalogueState decodeState(byte[] body) throws CorruptRecordException {
+		StoredState stored = read(decompress(body), StoredState.class);
+		requireValid(stored.organisations(), ItemRules::check);
+		requireValid(stored.targets(), ItemRules::check);
+		requireValid(stored.entries(), ItemRules::check);
+		if (stored.revision() < 0 || stored.revision() >= stored.nextOffset()) {
+			throw new CorruptRecordException("the revision does not lie before the next offset");
+		}
+		try {
+			return stored.toState();
+		}
+		catch (RuntimeException ex) {
+			throw new CorruptRecordException("the state holds an item twice", ex);
+		}
+	}
+
+	private static byte[] decompress(byte[] body) throws CorruptRecordException {
+		try (GZIPInputStream compressed = new GZIPInputStream(new ByteArrayInputStream(body))) {
+			byte[] bytes = compressed.readNBytes(MAX_STATE_BYTES + 1);
+			if (bytes.length > MAX_STATE_BYTES) {
+				throw new CorruptRecordException("longer than %d bytes".formatted(MAX_STATE_BYTES));
+			}
+			return bytes;
+		}
+		catch (IOException ex) {
+			throw new CorruptRecordException("not compressed: " + ex.getMessage(), ex);
+		}
+	}
+
+	private static <T> T read(byte[] body, Class<T> type) throws CorruptRecordException {
+		try {
+			T value = MAPPER.readValue(body, type);
+			if (value == null) {
+				throw new CorruptRecordException("the body holds nothing");
+			}
+			return value;
+		}
+		catch (IOException ex) {
+			throw new CorruptRecordException(String.valueOf(ex.getMessage()).lines().findFirst().orElse(""), ex);
+		}
+	}
+
+	private static <T> void requireValid(List<Versioned<T>> items, Function<T, List<ItemRules.Violation>> rules)
+			throws CorruptRecordException {
+		for (Versioned<T> versioned : items) {
+			List<ItemRules.Violation> violations = rules.apply(versioned.item());
+			if (!violations.isEmpty()) {
+				throw new CorruptRecordException(violations.get(0).field() + " " + violations.get(0).message());
+			}
+		}
+	}
+
+	private static final class IdentifierSerializer<T> extends StdSerializer<T> {
+
+		private static final long serialVersionUID = 1L;
+
+		private IdentifierSerializer(Class<T> type) {
+			super(type);
+		}
+
+		@Override
+		public void serialize(T value, JsonGenerator generator, SerializerProvider provider) throws IOException {
+			generator.writeString(value.toString());
+		}
+
+	}
+
+	private static final class IdentifierDeserializer<T> extends FromStringDeserializer<T> {
+
+		private static final long serialVersionUID = 1L;
+
+		private final transient Function<String, T> constructor;
+
+		private IdentifierDeserializer(Class<T> type, Function<String, T> constructor) {
+			super(type);
+			this.constructor = constructor;
+		}
+
+		@Override
+		protected T _deserialize(String value, DeserializationContext context) {
+			return this.constructor.apply(value);
+		}
+
+		@Override
+		public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+			return super.deserialize(parser, context);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ReferenceRules.java
@@ -0,0 +1,77 @@
+package org.mustardlane.core.catalogue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.mustardlane.core.model.catalogue.CatalogueEntry;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.core.model.common.PoolId;
+
+/**
+ * What the items of one catalogue must hold about each other.
+ *
+ * <p>
+ * Thread-safe: all methods are pure functions.
+ */
+final class ReferenceRules {
+
+	private ReferenceRules() {
+	}
+
+	/**
+	 * Checks a whole catalogue.
+	 * @param state the catalogue
+	 * @return what is wrong
+	 */
+	static List<Violation> check(CatalogueState state) {
+		Map<PoolId, List<Target>> pools = state.targets()
+			.values()
+			.stream()
+			.map(Versioned::item)
+			.collect(Collectors.groupingBy(Target::pool));
+		List<Violation> violations = new ArrayList<>();
+		state.entries().values().forEach((entry) -> checkEntry(state, pools, entry.item(), violations));
+		pools.forEach((pool, targets) -> checkPool(pool, targets, violations));
+		return violations;
+	}
+
+	private static void checkEntry(CatalogueState state, Map<PoolId, List<Target>> pools, CatalogueEntry entry,
+			List<Violation> violations) {
+		ItemKey key = new ItemKey(ItemKind.ENTRY, entry.name().value());
+		if (!state.organisations().containsKey(entry.owner())) {
+			violations.add(new Violation(key, "owner", "no organisation is named " + entry.owner()));
+		}
+		List<Target> targets = pools.getOrDefault(entry.pool(), List.of());
+		if (targets.isEmpty()) {
+			violations.add(new Violation(key, "pool", "no target belongs to pool " + entry.pool()));
+		}
+		if (entry.streaming() && targets.stream().anyMatch((target) -> target.kind() == TargetKind.SERVICE)) {
+			violations.add(new Violation(key, "streaming",
+					"pool %s holds plain services, which do not stream".formatted(entry.pool())));
+		}
+	}
+
+	private static void checkPool(PoolId pool, List<Target> targets, List<Violation> violations) {
+		TargetKind kind = targets.get(0).kind();
+		targets.stream().filter((target) -> target.kind() != kind).forEach((target) -> {
+			ItemKey key = new ItemKey(ItemKind.TARGET, target.id().value());
+			violations.add(new Violation(key, "kind",
+					"pool %s holds %s as %s; a pool is of one kind".formatted(pool, targets.get(0).id(), kind)));
+		});
+	}
+
+	/**
+	 * A field of an item that does not fit the other items.
+	 *
+	 * @param item the item
+	 * @param field the field
+	 * @param message what is wrong, in words
+	 */
+	record Violation(ItemKey item, String field, String message) {
+
+	}
+
+}
