Decide claims by the order of their partition's stream

A fold of the stream (ClaimWindow) names the oldest claim that counts for each key; ClaimPartition answers HELD only after that fold shows the ask's own claim.

--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimAppender.java
@@ -0,0 +1,220 @@
+package org.mustardlane.core.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.mustardlane.core.event.AppendLog;
+import org.mustardlane.core.event.AppendResult;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.model.log.RecordBody;
+import org.mustardlane.core.model.log.StreamName;
+
+/**
+ * Gathers the records of one partition into few appends.
+ *
+ * <p>
+ * A claim is appended again only where the log has refused it. Releases and completions
+ * are appended until they are read back, since a second one changes nothing. Not
+ * thread-safe.
+ */
+final class ClaimAppender {
+
+	private static final int IN_FLIGHT_LIMIT = 4;
+
+	private static final long LONGEST_GAP_MILLIS = 2_000;
+
+	private static final long REPEAT_MILLIS = 2_000;
+
+	private final StreamName stream;
+
+	private final String idPrefix;
+
+	private final ClaimSettings settings;
+
+	private final Map<String, ClaimMade> waitingClaims = new LinkedHashMap<>();
+
+	private final Map<String, RepeatedFact> repeatedFacts = new LinkedHashMap<>();
+
+	private final Map<String, List<ClaimMade>> inFlight = new HashMap<>();
+
+	private long appendCount;
+
+	private long gapMillis;
+
+	private long nextAppendMillis = Long.MIN_VALUE;
+
+	/**
+	 * Creates an appender.
+	 * @param stream the stream of the partition
+	 * @param idPrefix start of the names of appends, unique over routers and restarts
+	 * @param settings limits and times
+	 */
+	ClaimAppender(StreamName stream, String idPrefix, ClaimSettings settings) {
+		this.stream = stream;
+		this.idPrefix = idPrefix;
+		this.settings = settings;
+		this.gapMillis = settings.appendGapMillis();
+	}
+
+	/**
+	 * Puts a claim into the next append.
+	 * @param claim the claim
+	 */
+	void claim(ClaimMade claim) {
+		this.waitingClaims.put(claim.attemptId(), claim);
+	}
+
+	/**
+	 * Takes a claim out of the next append.
+	 * @param attemptId the claim
+	 * @return whether it is certain that this router has not put the claim into the log
+	 */
+	boolean withdraw(String attemptId) {
+		return this.waitingClaims.remove(attemptId) != null;
+	}
+
+	/**
+	 * Appends a release or completion until it is read back.
+	 * @param fact the fact
+	 * @param nowMillis the time
+	 * @return false where too many are waiting already
+	 */
+	boolean repeat(ClaimFact fact, long nowMillis) {
+		if (this.repeatedFacts.size() >= this.settings.pendingLimit()) {
+			return false;
+		}
+		this.repeatedFacts.putIfAbsent(fact.attemptId(), new RepeatedFact(fact, nowMillis));
+		return true;
+	}
+
+	/**
+	 * Returns whether the release of an attempt has not been read back yet.
+	 * @param attemptId the claim
+	 * @return whether the release is on its way
+	 */
+	boolean isReleasing(String attemptId) {
+		RepeatedFact repeated = this.repeatedFacts.get(attemptId);
+		return repeated != null && repeated.fact() instanceof ClaimReleased;
+	}
+
+	/**
+	 * Forgets the repeated facts that are in the log now.
+	 * @param window what was read
+	 */
+	void confirm(ClaimWindow window) {
+		this.repeatedFacts.values().removeIf((repeated) -> isRead(repeated.fact(), window));
+	}
+
+	private static boolean isRead(ClaimFact fact, ClaimWindow window) {
+		boolean released = window.isReleased(fact.attemptId());
+		return released || (fact instanceof ClaimCompleted && window.completion(fact.attemptId()).isPresent());
+	}
+
+	/**
+	 * Returns whether nothing waits to be appended or read back.
+	 * @return whether the appender may be dropped
+	 */
+	boolean isIdle() {
+		return this.waitingClaims.isEmpty() && this.repeatedFacts.isEmpty();
+	}
+
+	/**
+	 * Appends what waits, if it is time.
+	 * @param nowMillis the time
+	 * @return the append
+	 */
+	Optional<AppendLog> flush(long nowMillis) {
+		if (nowMillis < this.nextAppendMillis || this.inFlight.size() >= IN_FLIGHT_LIMIT) {
+			return Optional.empty();
+		}
+		List<RecordBody> records = new ArrayList<>();
+		takeRepeated(records, nowMillis);
+		List<ClaimMade> claims = takeClaims(records);
+		if (records.isEmpty()) {
+			return Optional.empty();
+		}
+		this.nextAppendMillis = nowMillis + this.gapMillis;
+		AppendLog append = append(records);
+		this.inFlight.put(append.appendId(), claims);
+		return Optional.of(append);
+	}
+
+	/**
+	 * Names an append of records for which no result is awaited.
+	 * @param records the records
+	 * @return the append
+	 */
+	AppendLog append(List<RecordBody> records) {
+		this.appendCount++;
+		return new AppendLog(this.stream, this.idPrefix + this.appendCount, records);
+	}
+
+	private void takeRepeated(List<RecordBody> records, long nowMillis) {
+		for (Map.Entry<String, RepeatedFact> entry : this.repeatedFacts.entrySet()) {
+			if (records.size() >= this.settings.batchRecords()) {
+				return;
+			}
+			RepeatedFact repeated = entry.getValue();
+			if (repeated.nextAppendMillis() <= nowMillis) {
+				records.add(ClaimCodec.encode(repeated.fact()));
+				entry.setValue(new RepeatedFact(repeated.fact(), nowMillis + REPEAT_MILLIS));
+			}
+		}
+	}
+
+	private List<ClaimMade> takeClaims(List<RecordBody> records) {
+		List<ClaimMade> claims = new ArrayList<>();
+		Iterator<ClaimMade> waiting = this.waitingClaims.values().iterator();
+		while (waiting.hasNext() && records.size() < this.settings.batchRecords()) {
+			ClaimMade claim = waiting.next();
+			claims.add(claim);
+			records.add(ClaimCodec.encode(claim));
+			waiting.remove();
+		}
+		return claims;
+	}
+
+	/**
+	 * Takes the result of an append.
+	 * @param event the result
+	 * @param pendingAttempts claims that still wait for an answer
+	 * @param nowMillis the time
+	 */
+	void ended(LogAppendEnded event, Set<String> pendingAttempts, long nowMillis) {
+		List<ClaimMade> claims = this.inFlight.remove(event.appendId());
+		if (claims == null) {
+			return;
+		}
+		if (event.result() == AppendResult.APPENDED) {
+			this.gapMillis = this.settings.appendGapMillis();
+			return;
+		}
+		this.gapMillis = Math.min(2 * this.gapMillis, LONGEST_GAP_MILLIS);
+		this.nextAppendMillis = nowMillis + this.gapMillis;
+		if (event.result() == AppendResult.REJECTED) {
+			putBack(claims, new HashSet<>(pendingAttempts));
+		}
+	}
+
+	private void putBack(List<ClaimMade> claims, Set<String> pendingAttempts) {
+		claims.stream().filter((claim) -> pendingAttempts.contains(claim.attemptId())).forEach(this::claim);
+	}
+
+	/**
+	 * A fact that is appended until it is read back.
+	 *
+	 * @param fact the fact
+	 * @param nextAppendMillis when to append it again
+	 */
+	private record RepeatedFact(ClaimFact fact, long nextAppendMillis) {
+
+	}
+
+}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
@@ -1,20 +1,68 @@
 package org.mustardlane.core.claim;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 
+import org.mustardlane.core.event.AppendLog;
 import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.RecordEvent;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.event.UnfollowStream;
+import org.mustardlane.core.message.ClaimAsk;
+import org.mustardlane.core.message.ClaimCompletion;
+import org.mustardlane.core.message.ClaimRelease;
+import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.model.common.LockRank;
+import org.mustardlane.core.model.common.RankedLock;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.log.RecordBody;
+import org.mustardlane.core.model.log.StreamName;
+import org.mustardlane.core.model.membership.Ownership;
+import org.mustardlane.core.model.timeline.TimelineEvent;
 
 /**
  * Decides claims of the partitions that this router owns.
+ *
+ * <p>
+ * A partition that is lost is kept until its asks are answered, and for a while longer in
+ * case it comes back, so that views that flap do not cause the window to be read again.
  */
 public final class ClaimHandler implements EventHandler {
 
+	private static final long KEEP_LOST_PARTITION_MILLIS = 30_000;
+
+	private static final int HYBRID_TIME_SHIFT = 16;
+
+	private final RankedLock lock = new RankedLock(LockRank.CLAIMS);
+
 	private final VmId self;
 
-	private final long incarnationMillis;
+	private final String idPrefix;
+
+	private final ClaimSettings settings;
+
+	private final ClaimAnswers answers;
+
+	private final Map<Integer, ClaimPartition> partitions = new HashMap<>();
+
+	private final Map<Integer, Long> lostAtMillis = new HashMap<>();
+
+	private String domain = "";
+
+	private long looseAppends;
+
+	private long partitionsOpened;
 
 	/**
 	 * Creates the handler.
@@ -22,13 +70,162 @@
 	 * @param incarnationMillis start time of this process in milliseconds
 	 */
 	public ClaimHandler(VmId self, long incarnationMillis) {
+		this(self, incarnationMillis, ClaimSettings.DEFAULT);
+	}
+
+	/**
+	 * Creates the handler with settings.
+	 * @param self this router
+	 * @param incarnationMillis start time of this process in milliseconds
+	 * @param settings limits and times
+	 */
+	public ClaimHandler(VmId self, long incarnationMillis, ClaimSettings settings) {
 		this.self = self;
-		this.incarnationMillis = incarnationMillis;
+		this.idPrefix = self + "/" + incarnationMillis + "/";
+		this.settings = settings;
+		this.answers = new ClaimAnswers(settings);
 	}
 
 	@Override
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
+		return this.lock.locked(() -> route(event, nowMillis));
+	}
+
+	private List<NodeAction> route(NodeEvent event, long nowMillis) {
+		if (event instanceof PeerMessageReceived received) {
+			return receive(received.sender(), received.message(), nowMillis);
+		}
+		if (event instanceof LogRecordsRead read) {
+			return read(read, nowMillis);
+		}
+		if (event instanceof LogAppendEnded ended) {
+			return inPartition(ended.stream(), (partition) -> partition.ended(ended, nowMillis));
+		}
+		if (event instanceof OwnershipChanged changed) {
+			return changeOwnership(changed.ownership(), nowMillis);
+		}
+		return (event instanceof Tick) ? tick(nowMillis) : List.of();
+	}
+
+	private List<NodeAction> receive(VmId sender, PeerMessage message, long nowMillis) {
+		if (message instanceof ClaimAsk ask) {
+			return owned(ask.claimKey()).map((partition) -> partition.ask(sender, ask, nowMillis))
+				.orElseGet(() -> List.of(new SendPeer(sender, this.answers.notOwner(ask))));
+		}
+		if (message instanceof ClaimRelease release) {
+			return release(sender, release, nowMillis);
+		}
+		if (message instanceof ClaimCompletion completion) {
+			return owned(completion.claimKey()).map((partition) -> partition.complete(completion, nowMillis))
+				.orElseGet(() -> appendLoose(this.answers.stored(completion)));
+		}
 		return List.of();
 	}
 
+	private List<NodeAction> release(VmId sender, ClaimRelease release, long nowMillis) {
+		Optional<ClaimPartition> partition = owned(release.claimKey());
+		if (partition.isEmpty()) {
+			return appendLoose(Optional.of(new ClaimReleased(release.claimKey(), release.attemptId())));
+		}
+		ClaimPartition.ReleaseResult result = partition.get().release(sender, release, nowMillis);
+		if (!result.accepted()) {
+			return List.of(record("claim-release-refused", release.attemptId(), "sent by " + sender, nowMillis));
+		}
+		return result.actions();
+	}
+
+	/**
+	 * Appends a fact to a partition of another owner, once: the sender holds an old view,
+	 * and the fact counts whoever appends it.
+	 * @param fact the fact
+	 * @return what is to be done
+	 */
+	private List<NodeAction> appendLoose(Optional<? extends ClaimFact> fact) {
+		if (fact.isEmpty()) {
+			return List.of();
+		}
+		this.looseAppends++;
+		StreamName stream = StreamName.claims(Ownership.partitionOf(fact.get().claimKey()));
+		List<RecordBody> records = List.of(ClaimCodec.encode(fact.get()));
+		return List.of(new AppendLog(stream, this.idPrefix + "loose/" + this.looseAppends, records));
+	}
+
+	private Optional<ClaimPartition> owned(String claimKey) {
+		int number = Ownership.partitionOf(claimKey);
+		if (this.lostAtMillis.containsKey(number)) {
+			return Optional.empty();
+		}
+		return Optional.ofNullable(this.partitions.get(number));
+	}
+
+	private List<NodeAction> inPartition(StreamName stream, Function<ClaimPartition, List<NodeAction>> step) {
+		for (Map.Entry<Integer, ClaimPartition> partition : this.partitions.entrySet()) {
+			if (StreamName.claims(partition.getKey()).equals(stream)) {
+				return step.apply(partition.getValue());
+			}
+		}
+		return List.of();
+	}
+
+	private List<NodeAction> read(LogRecordsRead read, long nowMillis) {
+		List<String> problems = new ArrayList<>();
+		List<NodeAction> actions = new ArrayList<>(
+				inPartition(read.stream(), (partition) -> partition.read(read, problems, nowMillis)));
+		for (String problem : problems) {
+			actions.add(record("claim-record-skipped", read.stream().value(), problem, nowMillis));
+		}
+		return actions;
+	}
+
+	private List<NodeAction> changeOwnership(Ownership ownership, long nowMillis) {
+		this.domain = ownership.selfDomain().value();
+		List<NodeAction> actions = new ArrayList<>();
+		for (int number = 0; number < Ownership.CLAIM_PARTITIONS; number++) {
+			boolean owner = ownership.partitionOwner(number).filter(this.self::equals).isPresent();
+			if (owner) {
+				own(number).ifPresent(actions::add);
+			}
+			else if (this.partitions.containsKey(number)) {
+				this.lostAtMillis.putIfAbsent(number, nowMillis);
+			}
+		}
+		return actions;
+	}
+
+	private Optional<NodeAction> own(int number) {
+		this.lostAtMillis.remove(number);
+		if (this.partitions.containsKey(number)) {
+			return Optional.empty();
+		}
+		this.partitionsOpened++;
+		StreamName stream = StreamName.claims(number);
+		String appendPrefix = this.idPrefix + this.partitionsOpened + "/";
+		ClaimPartition partition = new ClaimPartition(stream, appendPrefix, this.settings);
+		this.partitions.put(number, partition);
+		return Optional.of(partition.follow());
+	}
+
+	private List<NodeAction> tick(long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		this.partitions.values().forEach((partition) -> actions.addAll(partition.tick(nowMillis)));
+		List<Integer> dropped = this.lostAtMillis.entrySet()
+			.stream()
+			.filter((lost) -> lost.getValue() + KEEP_LOST_PARTITION_MILLIS <= nowMillis)
+			.map(Map.Entry::getKey)
+			.filter((number) -> this.partitions.get(number).isIdle())
+			.sorted()
+			.toList();
+		for (Integer number : dropped) {
+			this.partitions.remove(number);
+			this.lostAtMillis.remove(number);
+			actions.add(new UnfollowStream(StreamName.claims(number)));
+		}
+		return actions;
+	}
+
+	private RecordEvent record(String kind, String subject, String detail, long nowMillis) {
+		return new RecordEvent(new TimelineEvent(nowMillis << HYBRID_TIME_SHIFT, this.self.value(), this.domain, kind,
+				subject, detail));
+	}
+
 }
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/KeyClaims.java
@@ -0,0 +1,77 @@
+package org.mustardlane.core.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The claims of one key that count, oldest first.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class KeyClaims {
+
+	private final List<LoggedFact<ClaimMade>> claims = new ArrayList<>(1);
+
+	/**
+	 * Adds a claim; a second record of the same attempt changes nothing unless it is
+	 * older.
+	 * @param claim the claim
+	 */
+	void add(LoggedFact<ClaimMade> claim) {
+		Optional<LoggedFact<ClaimMade>> known = of(claim.fact().attemptId());
+		if (known.isPresent() && known.get().offset() <= claim.offset()) {
+			return;
+		}
+		remove(claim.fact().attemptId());
+		int place = 0;
+		while (place < this.claims.size() && this.claims.get(place).offset() < claim.offset()) {
+			place++;
+		}
+		this.claims.add(place, claim);
+	}
+
+	/**
+	 * Removes the claim of an attempt.
+	 * @param attemptId the claim
+	 */
+	void remove(String attemptId) {
+		this.claims.removeIf((claim) -> claim.fact().attemptId().equals(attemptId));
+	}
+
+	/**
+	 * Removes the claims that count no longer.
+	 * @param windowMillis how long a claim counts
+	 * @param logMillis the time by the clock of the log
+	 */
+	void removeExpired(long windowMillis, long logMillis) {
+		this.claims.removeIf((claim) -> claim.isExpired(windowMillis, logMillis));
+	}
+
+	/**
+	 * Returns the claim of an attempt.
+	 * @param attemptId the claim
+	 * @return the claim, or empty where it does not count
+	 */
+	Optional<LoggedFact<ClaimMade>> of(String attemptId) {
+		return this.claims.stream().filter((claim) -> claim.fact().attemptId().equals(attemptId)).findFirst();
+	}
+
+	/**
+	 * Returns the claim that holds the key.
+	 * @return the oldest claim that counts
+	 */
+	Optional<LoggedFact<ClaimMade>> first() {
+		return this.claims.stream().findFirst();
+	}
+
+	/**
+	 * Returns whether no claim counts.
+	 * @return whether the key is free
+	 */
+	boolean isEmpty() {
+		return this.claims.isEmpty();
+	}
+
+}
