--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimAppender.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimAppender.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -194,12 +193,13 @@
 		}
 		if (event.result() == AppendResult.APPENDED) {
 			this.gapMillis = this.settings.appendGapMillis();
+			this.nextAppendMillis = Math.min(this.nextAppendMillis, nowMillis + this.gapMillis);
 			return;
 		}
 		this.gapMillis = Math.min(2 * this.gapMillis, LONGEST_GAP_MILLIS);
 		this.nextAppendMillis = nowMillis + this.gapMillis;
 		if (event.result() == AppendResult.REJECTED) {
-			putBack(claims, new HashSet<>(pendingAttempts));
+			putBack(claims, pendingAttempts);
 		}
 	}
 
