--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +29,19 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/**
+	 * Returns the answer of an engine with the outcome that a router would have given.
+	 * @return the result
+	 */
+	CallResult withTargetOutcome() {
+		boolean isWhole = this.status == OK && this.error.isEmpty()
+				&& header("x-answer-bytes").filter(Integer.toString(this.body.length)::equals).isPresent();
+		Map<String, String> extended = new TreeMap<>(this.headers);
+		extended.put("x-outcome", isWhole ? "answered" : "unknown");
+		return new CallResult(this.status, extended, this.body, this.error, this.sentAtNanos, this.firstByteAtNanos,
+				this.endedAtNanos);
+	}
+
 	/**
 	 * Returns whether a regular answer came to its regular end.
 	 * @return whether it did
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/Caller.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/Caller.java
@@ -70,15 +70,16 @@
 	 * @param engineUrl the engine
 	 * @param request the request
 	 * @param requestId names the request
+	 * @param progress is told after each part how many bytes have arrived
 	 * @return what will have arrived
 	 */
-	public CompletableFuture<CallResult> callEngine(String engineUrl, CallRequest request, String requestId) {
+	public CompletableFuture<CallResult> callEngine(String engineUrl, CallRequest request, String requestId,
+			IntConsumer progress) {
 		RequestBuilder builder = Dsl.post(engineUrl + "/v1/" + request.entry())
 			.setBody(request.body())
 			.setHeader("X-Request-Id", requestId);
 		request.chatId().ifPresent((chat) -> builder.setHeader("X-Chat-Id", chat));
-		return execute(builder, (bytes) -> {
-		});
+		return execute(builder, progress).thenApply(CallResult::withTargetOutcome);
 	}
 
 	@Override
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/DirectRoute.java
@@ -0,0 +1,52 @@
+package org.mustardlane.proof.measure;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntConsumer;
+
+import org.mustardlane.proof.caller.CallResult;
+import org.mustardlane.proof.caller.Caller;
+import org.mustardlane.proof.fleet.TargetHandle;
+
+/**
+ * Sends calls to the engines in turn, first come first served and without a router.
+ */
+final class DirectRoute implements Route {
+
+	private final Caller caller;
+
+	private final List<TargetHandle> engines;
+
+	private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+
+	private final AtomicLong turns = new AtomicLong();
+
+	DirectRoute(Caller caller, List<TargetHandle> engines) {
+		this.caller = caller;
+		this.engines = engines;
+	}
+
+	@Override
+	public CompletableFuture<CallResult> send(TimedCall call, IntConsumer progress) {
+		List<TargetHandle> present = this.engines.stream()
+			.filter((engine) -> !this.leaving.contains(engine.name()))
+			.toList();
+		long turn = this.turns.getAndIncrement();
+		TargetHandle engine = present.get((int) (turn % present.size()));
+		return this.caller.callEngine(engine.url(), call.request(), "direct-" + turn, progress);
+	}
+
+	@Override
+	public void leave(String engine, boolean isLeaving) {
+		if (isLeaving) {
+			this.leaving.add(engine);
+		}
+		else {
+			this.leaving.remove(engine);
+		}
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/EngineSampler.java
@@ -0,0 +1,87 @@
+package org.mustardlane.proof.measure;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.proof.fleet.Fleet;
+import org.mustardlane.proof.fleet.FleetException;
+import org.mustardlane.proof.fleet.TargetHandle;
+import org.mustardlane.proof.fleet.Waiting;
+
+/**
+ * Reads the present load of all engines again and again.
+ */
+final class EngineSampler implements AutoCloseable {
+
+	private static final int PERIOD_MILLIS = 100;
+
+	private final Fleet fleet;
+
+	private final List<LoadSample> samples = Collections.synchronizedList(new ArrayList<>());
+
+	private final Thread thread = new Thread(this::run, "engine-sampler");
+
+	private volatile boolean stopped;
+
+	EngineSampler(Fleet fleet) {
+		this.fleet = fleet;
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	List<LoadSample> samples() {
+		return List.copyOf(this.samples);
+	}
+
+	@Override
+	public void close() throws FleetException {
+		this.stopped = true;
+		Waiting.until("sampler has ended", () -> !this.thread.isAlive());
+	}
+
+	private void run() {
+		try {
+			while (!this.stopped) {
+				this.samples.add(sample());
+				Waiting.pause(PERIOD_MILLIS);
+			}
+		}
+		catch (FleetException ex) {
+			// The fleet is going down, and there is nothing more to sample.
+		}
+	}
+
+	private LoadSample sample() throws FleetException {
+		List<Integer> loads = new ArrayList<>();
+		for (TargetHandle engine : this.fleet.targets().ofKind(TargetKind.ENGINE)) {
+			JsonNode state = this.fleet.control().get(engine.url() + "/state");
+			if (!state.path("leaving").asBoolean()) {
+				loads.add(state.path("running").asInt() + state.path("waiting").asInt());
+			}
+		}
+		return new LoadSample(System.currentTimeMillis(), loads);
+	}
+
+	/**
+	 * The load of the engines that do not leave, at one time.
+	 *
+	 * @param atMillis the time
+	 * @param loads requests that run or wait at each
+	 */
+	record LoadSample(long atMillis, List<Integer> loads) {
+
+		double mean() {
+			return this.loads.stream().mapToInt(Integer::intValue).average().orElse(0);
+		}
+
+		int highest() {
+			return this.loads.stream().mapToInt(Integer::intValue).max().orElse(0);
+		}
+
+	}
+
+}
--- a/mustardlane-standin/src/main/java/org/mustardlane/standin/target/TargetBase.java
+++ b/mustardlane-standin/src/main/java/org/mustardlane/standin/target/TargetBase.java
@@ -62,6 +62,8 @@
 		switch (exchange.path()) {
 			case "/faults" -> handleFaults(exchange);
 			case "/journal" -> sendJournal(exchange);
+			case "/state" -> exchange.sendJson(OK, new LoadHistory.LoadReport(System.currentTimeMillis(),
+					this.slots.running(), this.slots.waiting(), this.faults.leaving()));
 			case "/load" -> whenThawed(() -> sendLoad(exchange));
 			case "/orders" -> handleOrder(exchange);
 			default -> whenThawed(() -> handlePublic(exchange));
