--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -33,7 +33,7 @@
 
 	private static final String STANDIN = "org.mustardlane.standin.StandinMain";
 
-	private static final String ROUTER = "org.mustardlane.router.RouterMain";
+	private static final String ROUTER = "org.mustardlane.router.RouterDaemon";
 
 	private static final int WAIT_SECONDS = 60;
 
