--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
@@ -1,6 +1,7 @@
 package org.mustardlane.proof.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -91,7 +92,7 @@
 			this.links.forEach(Forwarder::reset);
 		}
 		if (wanted == LinkState.OPEN) {
-			this.links.forEach(Channel::read);
+			this.links.forEach((link) -> link.pipeline().fireUserEventTriggered(wanted));
 		}
 	}
 
@@ -120,10 +121,7 @@
 			.option(ChannelOption.AUTO_READ, false)
 			.handler(new Pipe(near));
 		Channel far = bootstrap.connect("127.0.0.1", this.targetPort).addListener((connected) -> {
-			if (connected.isSuccess()) {
-				near.read();
-			}
-			else {
+			if (!connected.isSuccess()) {
 				reset(near);
 			}
 		}).channel();
@@ -142,6 +140,8 @@
 
 		private final Channel other;
 
+		private Optional<Object> held = Optional.empty();
+
 		Pipe(Channel other) {
 			this.other = other;
 		}
@@ -149,7 +149,10 @@
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
 			Forwarder.this.links.add(context.channel());
-			context.read();
+			if (this.other.isActive()) {
+				context.read();
+				this.other.read();
+			}
 		}
 
 		@Override
@@ -163,11 +166,27 @@
 			context.executor().schedule(() -> pass(context, message), millis, TimeUnit.MILLISECONDS);
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event == LinkState.OPEN) {
+				Optional<Object> message = this.held;
+				this.held = Optional.empty();
+				message.ifPresent((bytes) -> pass(context, bytes));
+			}
+		}
+
 		private void pass(ChannelHandlerContext context, Object message) {
+			if (Forwarder.this.state == LinkState.SILENT) {
+				this.held = Optional.of(message);
+				return;
+			}
 			this.other.writeAndFlush(message).addListener((written) -> {
-				if (Forwarder.this.state != LinkState.SILENT) {
+				if (written.isSuccess()) {
 					context.read();
 				}
+				else {
+					context.close();
+				}
 			});
 		}
 
