--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/Attempt.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/Attempt.java
@@ -44,6 +44,8 @@
 
 	private long grantId;
 
+	private int grantAttempt;
+
 	private boolean handedOver;
 
 	private boolean ended;
@@ -64,6 +66,7 @@
 			GrantSeeker seeker) {
 		this.accepted = accepted;
 		this.number = number;
+		this.grantAttempt = number;
 		this.kind = kind;
 		this.generationToResume = generationToResume;
 		this.offsetBytes = offsetBytes;
@@ -123,8 +126,8 @@
 		if (this.ended || this.target.isEmpty()) {
 			return Optional.empty();
 		}
-		return this.target.map((granted) -> new HeldGrant(this.grantId, granted.id(), this.accepted.id(), this.number,
-				this.accepted.request().organisation(), this.accepted.entry().serviceClass()));
+		return this.target.map((granted) -> new HeldGrant(this.grantId, granted.id(), this.accepted.id(),
+				this.grantAttempt, this.accepted.request().organisation(), this.accepted.entry().serviceClass()));
 	}
 
 	boolean holds(long otherGrantId) {
@@ -158,6 +161,7 @@
 		Target granted = broken.target.orElseThrow();
 		this.target = broken.target;
 		this.grantId = broken.grantId;
+		this.grantAttempt = broken.grantAttempt;
 		this.handedOver = true;
 		this.startedAtMillis = nowMillis;
 		return List.of(startAction(granted, this.accepted.deadlineMillis(), 0));
@@ -249,7 +253,8 @@
 		ShardId shard = context.catalogue().shardOfTarget().getOrDefault(granted, this.seeker.shard());
 		long serviceMillis = (this.startedAtMillis != NONE) ? (nowMillis - this.startedAtMillis) : 0;
 		AttemptTiming timing = new AttemptTiming(firstTokenMillis(), this.worstGapMillis, serviceMillis);
-		GrantRelease release = new GrantRelease(this.accepted.id(), this.number, shard, grant, granted, cause, timing);
+		GrantRelease release = new GrantRelease(this.accepted.id(), this.grantAttempt, shard, grant, granted, cause,
+				timing);
 		Optional<VmId> owner = context.ownership().shardOwner(shard);
 		return owner.<List<NodeAction>>map((vm) -> List.of(new SendPeer(vm, release))).orElse(List.of());
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.mustardlane.core.admission.AdmissionHandler;
+import org.mustardlane.core.admission.AdmissionSettings;
 import org.mustardlane.core.catalogue.CatalogueHandler;
 import org.mustardlane.core.claim.ClaimHandler;
 import org.mustardlane.core.event.DrainRequested;
@@ -53,6 +54,8 @@
 
 	private final RequestHandler requests;
 
+	private final AdmissionHandler admission;
+
 	private final List<EventHandler> handlers;
 
 	private final AtomicReference<Ownership> ownership;
@@ -76,10 +79,11 @@
 		this.membership = new MembershipHandler(heartbeat, settings.seed());
 		this.catalogue = new CatalogueHandler(settings.self());
 		this.requests = new RequestHandler(unknown);
-		AdmissionHandler admission = new AdmissionHandler(settings.self(), settings.incarnationMillis());
+		this.admission = new AdmissionHandler(settings.self(), settings.incarnationMillis(),
+				AdmissionSettings.of(settings.admissionPolicy(), settings.seed()));
 		ClaimHandler claims = new ClaimHandler(settings.self(), settings.incarnationMillis());
 		OrderHandler orders = new OrderHandler(settings.self(), settings.incarnationMillis());
-		this.handlers = List.of(this.membership, this.catalogue, admission, claims, orders, this.requests);
+		this.handlers = List.of(this.membership, this.catalogue, this.admission, claims, orders, this.requests);
 	}
 
 	@Override
@@ -151,7 +155,8 @@
 			.forEach((shard) -> view.shardOwner(shard).ifPresent((owner) -> owners.put(shard, owner)));
 		return new NodeStatus(this.settings, catalogue().revision(), this.draining, this.requests.inFlight(),
 				this.lastPlatformContactMillis.get(), this.membership.peers(),
-				this.membership.livePeers(this.lastEventMillis.get()), owners, List.of());
+				this.membership.livePeers(this.lastEventMillis.get()), owners,
+				this.admission.ownLoads(this.lastEventMillis.get()));
 	}
 
 }
