Queue by class and organisation, limit classes and organisations, ease out slow targets

Start-time fair queueing within strict classes, learned service times, refusals spread over the time in which they can be served, a share of each organisation's limit for each shard, bulk caps, an urgent reserve, delay scheduling at the home target, and target health from first tokens, gaps, failures and silence.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.DrainRequested;
@@ -12,6 +13,7 @@
 import org.mustardlane.core.event.PeerMessageReceived;
 import org.mustardlane.core.event.PeerUnreachable;
 import org.mustardlane.core.event.PollTarget;
+import org.mustardlane.core.event.TargetPollFailed;
 import org.mustardlane.core.event.TargetReported;
 import org.mustardlane.core.event.Tick;
 import org.mustardlane.core.event.VmListRead;
@@ -23,6 +25,7 @@
 import org.mustardlane.core.message.GrantVerdict;
 import org.mustardlane.core.message.HeldGrant;
 import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.message.ReleaseCause;
 import org.mustardlane.core.message.ShardLoad;
 import org.mustardlane.core.message.VmListRelay;
 import org.mustardlane.core.model.common.LockRank;
@@ -43,6 +46,8 @@
 
 	private static final int HOUSEKEEPING_MILLIS = 50;
 
+	private static final long LONGEST_STEP_MILLIS = 200;
+
 	private final RankedLock lock = new RankedLock(LockRank.ADMISSION);
 
 	private final AdmissionSettings settings;
@@ -55,7 +60,7 @@
 
 	private boolean draining;
 
-	private long nextHousekeepingMillis;
+	private long housekeptAtMillis;
 
 	/**
 	 * Creates the handler with the chosen policy.
@@ -74,10 +79,8 @@
 	 */
 	public AdmissionHandler(VmId self, long incarnationMillis, AdmissionSettings settings) {
 		this.settings = settings;
-		boolean naive = settings.policy() == AdmissionPolicy.NAIVE;
-		this.table = new ShardTable(settings, FifoAskQueue::new);
-		this.granter = new Granter(settings, naive ? new RoundRobinChoice() : new BoundedLoadChoice(),
-				firstGrantId(self, incarnationMillis));
+		this.granter = new Granter(settings, firstGrantId(self, incarnationMillis));
+		this.table = new ShardTable(settings, this.granter::newQueue);
 		this.publisher = new LoadPublisher(settings);
 	}
 
@@ -130,11 +133,17 @@
 			handBack(this.table.take(changed.ownership(), nowMillis), actions);
 		}
 		else if (event instanceof CatalogueChanged changed) {
+			this.granter.take(changed.snapshot());
 			handBack(this.table.take(changed.snapshot(), nowMillis), actions);
 		}
 		else if (event instanceof VmListRead read) {
 			this.table.take(read.vmList());
 		}
+		else if (event instanceof TargetPollFailed failed) {
+			this.table.ownedShardOf(failed.target())
+				.flatMap((shard) -> shard.target(failed.target()))
+				.ifPresent((slots) -> slots.health().polled(false));
+		}
 		else if (event instanceof DrainRequested) {
 			this.draining = true;
 			handBack(this.table.ownedShards(), actions);
@@ -163,14 +172,10 @@
 	}
 
 	private void ask(VmId sender, GrantAsk ask, long nowMillis, List<NodeAction> actions) {
-		Shard shard = this.table.owned(ask.shard()).filter((owned) -> !this.draining).orElse(null);
-		if (shard == null) {
-			actions.add(Granter.notOwner(sender, ask));
-			return;
-		}
-		PendingAsk pending = new PendingAsk(AskKey.of(ask), sender, ask, nowMillis, nowMillis,
-				ask.deadlineMillis() - ask.expectedWorkMillis());
-		this.granter.ask(shard, pending, this.table.route(), nowMillis, actions);
+		this.table.owned(ask.shard())
+			.filter((owned) -> !this.draining)
+			.ifPresentOrElse((shard) -> this.granter.ask(shard, sender, ask, nowMillis, actions),
+					() -> actions.add(GrantAnswers.notOwner(sender, ask)));
 	}
 
 	private void release(GrantRelease release, long nowMillis, List<NodeAction> actions) {
@@ -180,11 +185,31 @@
 				shard.queue().remove(key);
 				return;
 			}
-			shard.grant(key).filter((grant) -> grant.grantId() == release.grantId()).ifPresent(shard::removeGrant);
+			shard.grant(key)
+				.filter((grant) -> grant.grantId() == release.grantId())
+				.ifPresent((grant) -> end(shard, grant, release, nowMillis));
 			this.granter.dispatch(shard, nowMillis, actions);
 		});
 	}
 
+	private void end(Shard shard, Grant grant, GrantRelease release, long nowMillis) {
+		shard.removeGrant(grant);
+		if (release.cause() == ReleaseCause.UNUSED) {
+			return;
+		}
+		shard.target(grant.target()).map(TargetSlots::health).ifPresent((health) -> {
+			if (release.cause() == ReleaseCause.FAILED) {
+				health.failed();
+			}
+			else {
+				health.answered(release.timing());
+			}
+		});
+		if (release.cause() == ReleaseCause.COMPLETED) {
+			this.granter.learn(grant, nowMillis);
+		}
+	}
+
 	private void renew(VmId sender, GrantRenewal renewal, long nowMillis) {
 		this.table.known(renewal.shard())
 			.ifPresent((shard) -> renewal.grants().forEach((held) -> renew(shard, sender, held, nowMillis)));
@@ -195,8 +220,8 @@
 		AskKey key = AskKey.of(held);
 		shard.grant(key)
 			.ifPresentOrElse((grant) -> shard.renewGrant(grant, expiryMillis),
-					() -> shard.adoptGrant(new Grant(key, held.grantId(), sender, held.target(), held.organisation(),
-							held.serviceClass(), nowMillis, expiryMillis)));
+					() -> shard.adoptGrant(new Grant(key, held.grantId(), sender, held.target(), Optional.empty(), 0,
+							held.organisation(), held.serviceClass(), nowMillis, expiryMillis)));
 	}
 
 	private void hear(ShardLoad load, long nowMillis) {
@@ -216,7 +241,10 @@
 
 	private void report(LoadReport report, long nowMillis, List<NodeAction> actions) {
 		this.table.ownedShardOf(report.target()).ifPresent((shard) -> {
-			shard.target(report.target()).ifPresent((slots) -> slots.report(report));
+			shard.target(report.target()).ifPresent((slots) -> {
+				slots.report(report);
+				slots.health().polled(true);
+			});
 			shard.recount();
 			this.granter.dispatch(shard, nowMillis, actions);
 		});
@@ -226,18 +254,19 @@
 		for (Shard shard : shards) {
 			shard.queue()
 				.removeAll()
-				.forEach((pending) -> actions.add(Granter.notOwner(pending.sender(), pending.ask())));
+				.forEach((pending) -> actions.add(GrantAnswers.notOwner(pending.sender(), pending.ask())));
 			this.publisher.forget(shard.id());
 		}
 	}
 
 	private void tick(long nowMillis, List<NodeAction> actions) {
-		if (nowMillis >= this.nextHousekeepingMillis) {
-			this.nextHousekeepingMillis = nowMillis + HOUSEKEEPING_MILLIS;
+		if (nowMillis >= this.housekeptAtMillis + HOUSEKEEPING_MILLIS) {
 			keepHouse(nowMillis);
+			this.housekeptAtMillis = nowMillis;
 		}
 		for (Shard shard : this.table.ownedShards()) {
 			this.granter.dispatch(shard, nowMillis, actions);
+			this.granter.redirect(shard, nowMillis, actions);
 			this.granter.refuseLate(shard, nowMillis, actions);
 			this.publisher.publish(shard, nowMillis, actions);
 			poll(shard, nowMillis, actions);
@@ -245,8 +274,14 @@
 	}
 
 	private void keepHouse(long nowMillis) {
+		long passedMillis = Math.min(nowMillis - this.housekeptAtMillis, LONGEST_STEP_MILLIS);
 		this.table.pools().forEach((pool) -> pool.forgetOld(nowMillis));
-		this.table.knownShards().forEach((shard) -> shard.lapsedGrants(nowMillis).forEach(shard::removeGrant));
+		for (Shard shard : this.table.knownShards()) {
+			shard.lapsedGrants(nowMillis).forEach(shard::removeGrant);
+			if (this.settings.policy() == AdmissionPolicy.BOUNDED) {
+				shard.review(passedMillis, nowMillis);
+			}
+		}
 		this.table.forgetEmpty();
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AskQueue.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AskQueue.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.mustardlane.core.model.catalogue.ServiceClass;
+
 /**
  * Orders the asks that wait in one shard.
  */
@@ -43,6 +45,13 @@
 	 */
 	List<PendingAsk> removeLate(long nowMillis);
 
+	/**
+	 * Removes the last ask of the lowest class below a given one, to make room.
+	 * @param serviceClass the class that needs room
+	 * @return the ask, or empty where nothing of a lower class waits
+	 */
+	Optional<PendingAsk> removeLastBelow(ServiceClass serviceClass);
+
 	/**
 	 * Removes all asks.
 	 * @return the asks, in the order of this queue
@@ -55,4 +64,11 @@
 	 */
 	int size();
 
+	/**
+	 * Returns the work that will be served before a new ask.
+	 * @param pending the new ask
+	 * @return milliseconds of work of one slot; 0 where the order does not tell
+	 */
+	long workAheadMillis(PendingAsk pending);
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
@@ -2,23 +2,53 @@
 
 import java.util.Optional;
 
+import org.mustardlane.core.model.catalogue.ServiceClass;
 import org.mustardlane.core.model.common.Rendezvous;
 
 /**
  * Rendezvous hashing with bounded loads: the first target in the order of the chat that
- * is below the load bound and has a free slot.
+ * is below the load bound and has a free slot for the class.
+ *
+ * <p>
+ * While an ask waits for the home target of its chat (delay scheduling) no other will do.
+ * An ask without a chat takes the target with the least load.
  */
 final class BoundedLoadChoice implements TargetChoice {
 
 	private static final int PERCENT = 100;
 
+	private static final long NO_CHAT = 0;
+
+	private static final int WAITING_PER_TARGET = 2;
+
+	private final AdmissionSettings settings;
+
+	private final SlotLimits limits;
+
+	BoundedLoadChoice(AdmissionSettings settings) {
+		this.settings = settings;
+		this.limits = new SlotLimits(settings);
+	}
+
 	@Override
 	public Optional<TargetSlots> choose(Shard shard, PendingAsk pending, long nowMillis) {
+		if (!this.limits.admits(shard, pending.ask().serviceClass(), nowMillis)) {
+			return Optional.empty();
+		}
 		int bound = shard.pool().bound(nowMillis);
+		Optional<TargetSlots> home = (nowMillis < pending.homeOnlyUntilMillis()) ? home(shard, pending)
+				: Optional.empty();
+		if (home.isPresent()) {
+			return home.filter((slots) -> isFree(shard, slots, pending, bound, nowMillis));
+		}
+		return best(shard, pending, bound, nowMillis);
+	}
+
+	private Optional<TargetSlots> best(Shard shard, PendingAsk pending, int bound, long nowMillis) {
 		TargetSlots best = null;
 		long bestScore = 0;
 		for (TargetSlots slots : shard.targets()) {
-			long score = Rendezvous.score(pending.ask().chatHash(), slots.nameHash());
+			long score = score(slots, pending);
 			boolean better = best == null || Long.compareUnsigned(score, bestScore) > 0;
 			if (better && isFree(shard, slots, pending, bound, nowMillis)) {
 				best = slots;
@@ -28,10 +58,57 @@
 		return Optional.ofNullable(best);
 	}
 
-	private static boolean isFree(Shard shard, TargetSlots slots, PendingAsk pending, int bound, long nowMillis) {
-		int limit = Math.min(bound, slots.target().slots()) * shard.routerSharePercent() / PERCENT;
-		return slots.isOpen() && slots.used(nowMillis) < limit
-				&& !pending.ask().excludedTargets().contains(slots.target().id());
+	private static long score(TargetSlots slots, PendingAsk pending) {
+		long chatHash = pending.ask().chatHash();
+		return (chatHash != NO_CHAT) ? Rendezvous.score(chatHash, slots.nameHash())
+				: Integer.MAX_VALUE - slots.granted() * (long) PERCENT / slots.target().slots();
+	}
+
+	private Optional<TargetSlots> home(Shard shard, PendingAsk pending) {
+		TargetSlots home = null;
+		for (TargetSlots slots : shard.targets()) {
+			boolean candidate = slots.isOpen() && !isExcluded(slots, pending);
+			if (candidate && (home == null || Long.compareUnsigned(score(slots, pending), score(home, pending)) > 0)) {
+				home = slots;
+			}
+		}
+		return Optional.ofNullable(home);
+	}
+
+	@Override
+	public long homeWaitMillis(Shard shard, PendingAsk pending, long nowMillis) {
+		boolean crowded = shard.queue().size() >= WAITING_PER_TARGET * shard.openTargets();
+		if (pending.ask().chatHash() == NO_CHAT || crowded) {
+			return 0;
+		}
+		return home(shard, pending).filter((home) -> home.granted() > 0)
+			.filter((home) -> home.expectedReleaseMillis() <= this.settings.prefixLossMillis())
+			.map((home) -> (long) this.settings.prefixLossMillis())
+			.orElse(0L);
+	}
+
+	private boolean isFree(Shard shard, TargetSlots slots, PendingAsk pending, int bound, long nowMillis) {
+		if (slots.isLeaving() || isExcluded(slots, pending)) {
+			return false;
+		}
+		ServiceClass serviceClass = pending.ask().serviceClass();
+		if (slots.health().sharePercent() == 0) {
+			return serviceClass != ServiceClass.URGENT && slots.granted() == 0 && slots.health().isProbeDue(nowMillis);
+		}
+		if (slots.used(nowMillis) >= limit(shard, slots, bound)) {
+			return false;
+		}
+		return serviceClass != ServiceClass.BULK
+				|| slots.granted(ServiceClass.BULK) < this.limits.bulkLimit(shard, slots, nowMillis);
+	}
+
+	private static int limit(Shard shard, TargetSlots slots, int bound) {
+		int healthy = Math.max(1, slots.target().slots() * slots.health().sharePercent() / PERCENT);
+		return Math.min(bound, healthy) * shard.routerSharePercent() / PERCENT;
+	}
+
+	private static boolean isExcluded(TargetSlots slots, PendingAsk pending) {
+		return pending.ask().excludedTargets().contains(slots.target().id());
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/FifoAskQueue.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/FifoAskQueue.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.mustardlane.core.model.catalogue.ServiceClass;
+
 /**
  * First come first served.
  */
@@ -57,9 +59,19 @@
 		return all;
 	}
 
+	@Override
+	public Optional<PendingAsk> removeLastBelow(ServiceClass serviceClass) {
+		return Optional.empty();
+	}
+
 	@Override
 	public int size() {
 		return this.asks.size();
 	}
 
+	@Override
+	public long workAheadMillis(PendingAsk pending) {
+		return 0;
+	}
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Grant.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Grant.java
@@ -1,6 +1,9 @@
 package org.mustardlane.core.admission;
 
+import java.util.Optional;
+
 import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.common.EntryName;
 import org.mustardlane.core.model.common.OrganisationId;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.model.common.VmId;
@@ -12,17 +15,19 @@
  * @param grantId the number that the router gives back
  * @param holder the router
  * @param target the target
+ * @param entry the catalogue entry, unknown where an earlier owner gave the grant
+ * @param workMillis how long it is expected to be used, 0 where unknown
  * @param organisation the organisation
  * @param serviceClass how urgent the work is
  * @param grantedAtMillis when it was given
  * @param expiryMillis when it lapses unless it is renewed
  */
-record Grant(AskKey key, long grantId, VmId holder, TargetId target, OrganisationId organisation,
-		ServiceClass serviceClass, long grantedAtMillis, long expiryMillis) {
+record Grant(AskKey key, long grantId, VmId holder, TargetId target, Optional<EntryName> entry, long workMillis,
+		OrganisationId organisation, ServiceClass serviceClass, long grantedAtMillis, long expiryMillis) {
 
 	Grant renewedUntil(long newExpiryMillis) {
-		return new Grant(this.key, this.grantId, this.holder, this.target, this.organisation, this.serviceClass,
-				this.grantedAtMillis, newExpiryMillis);
+		return new Grant(this.key, this.grantId, this.holder, this.target, this.entry, this.workMillis,
+				this.organisation, this.serviceClass, this.grantedAtMillis, newExpiryMillis);
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
@@ -3,13 +3,14 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.apache.commons.rng.simple.RandomSource;
+
 import org.mustardlane.core.chat.ShardRoute;
 import org.mustardlane.core.event.NodeAction;
-import org.mustardlane.core.event.SendPeer;
-import org.mustardlane.core.message.GrantAnswer;
 import org.mustardlane.core.message.GrantAsk;
-import org.mustardlane.core.message.GrantVerdict;
 import org.mustardlane.core.message.ShardLoad;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.common.OrganisationId;
 import org.mustardlane.core.model.common.ShardId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.model.execution.RefusalCode;
@@ -22,55 +23,104 @@
  */
 final class Granter {
 
-	private static final long SHORTEST_RETRY_MILLIS = 100;
+	private static final int REDIRECTS_PER_TICK = 8;
 
 	private final AdmissionSettings settings;
 
 	private final TargetChoice choice;
 
+	private final ServiceTimes serviceTimes = new ServiceTimes();
+
+	private final RetrySchedule retries;
+
+	private OrganisationShares shares = new OrganisationShares(CatalogueSnapshot.EMPTY);
+
+	private ShardRoute route = new ShardRoute(CatalogueSnapshot.EMPTY);
+
 	private long lastGrantId;
 
-	Granter(AdmissionSettings settings, TargetChoice choice, long firstGrantId) {
+	Granter(AdmissionSettings settings, long firstGrantId) {
 		this.settings = settings;
-		this.choice = choice;
+		this.choice = isNaive() ? new RoundRobinChoice() : new BoundedLoadChoice(settings);
+		this.retries = new RetrySchedule(RandomSource.SPLIT_MIX_64.create(settings.seed()));
 		this.lastGrantId = firstGrantId;
 	}
 
+	private boolean isNaive() {
+		return this.settings.policy() == AdmissionPolicy.NAIVE;
+	}
+
+	void take(CatalogueSnapshot catalogue) {
+		this.shares = new OrganisationShares(catalogue);
+		this.route = new ShardRoute(catalogue);
+	}
+
+	AskQueue newQueue() {
+		return isNaive() ? new FifoAskQueue() : new FairAskQueue(this::weight);
+	}
+
+	private int weight(OrganisationId organisation) {
+		return this.shares.weight(organisation);
+	}
+
 	/**
 	 * Decides an ask that has arrived.
 	 * @param shard the shard
-	 * @param pending the ask
-	 * @param route orders the shards of the pool
+	 * @param sender the router that asks
+	 * @param ask the ask
 	 * @param nowMillis the time
 	 * @param actions takes the answer
 	 */
-	void ask(Shard shard, PendingAsk pending, ShardRoute route, long nowMillis, List<NodeAction> actions) {
-		Optional<Grant> earlier = shard.grant(pending.key());
+	void ask(Shard shard, VmId sender, GrantAsk ask, long nowMillis, List<NodeAction> actions) {
+		AskKey key = AskKey.of(ask);
+		Optional<Grant> earlier = shard.grant(key);
 		if (earlier.isPresent()) {
-			actions.add(granted(pending, earlier.get()));
+			actions.add(GrantAnswers.granted(sender, ask, earlier.get()));
 		}
-		else if (!shard.queue().contains(pending.key()) && !place(shard, pending, nowMillis, actions)) {
-			wait(shard, pending, route, nowMillis, actions);
+		else if (!shard.queue().contains(key)) {
+			shard.work().arrived(ask.serviceClass(), nowMillis);
+			long workMillis = this.serviceTimes.expectedMillis(ask.entry(), ask.expectedWorkMillis());
+			decide(shard, new PendingAsk(key, sender, ask, nowMillis, workMillis, 0), nowMillis, actions);
 		}
 	}
 
-	private void wait(Shard shard, PendingAsk pending, ShardRoute route, long nowMillis, List<NodeAction> actions) {
-		GrantAsk ask = pending.ask();
-		Optional<ShardId> other = ask.mayQueue() ? Optional.empty() : shardWithRoom(shard, ask, route, nowMillis);
-		if (other.isPresent()) {
-			actions.add(answer(pending, other.get(), GrantVerdict.REDIRECTED, 0, Optional.empty()));
+	private void decide(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
+		if (pending.ask().deadlineMillis() <= nowMillis) {
+			actions.add(refuse(shard, pending, RefusalCode.DEADLINE_PASSED, nowMillis));
+			return;
+		}
+		PendingAsk atHome = pending.waitingForHomeUntil(homeOnlyUntilMillis(shard, pending, nowMillis));
+		if (place(shard, atHome, nowMillis, actions)) {
+			return;
 		}
-		else if (shard.queue().size() >= this.settings.queueLimit() || pending.latestStartMillis() < nowMillis) {
-			actions.add(refuse(shard, pending, RefusalCode.OVERLOADED));
+		if (atHome.homeOnlyUntilMillis() > nowMillis) {
+			shard.queue().add(atHome);
+			return;
+		}
+		Optional<ShardId> other = pending.ask().mayQueue() ? Optional.empty()
+				: shardWithRoom(shard, pending.ask(), nowMillis);
+		if (other.isPresent()) {
+			actions.add(GrantAnswers.redirected(pending, other.get()));
 		}
 		else {
-			shard.queue().add(pending);
+			queue(shard, pending, nowMillis, actions);
 		}
 	}
 
-	private Optional<ShardId> shardWithRoom(Shard shard, GrantAsk ask, ShardRoute route, long nowMillis) {
+	private long homeOnlyUntilMillis(Shard shard, PendingAsk pending, long nowMillis) {
+		long waitMillis = this.choice.homeWaitMillis(shard, pending, nowMillis);
+		boolean patient = waitMillis > 0 && nowMillis + waitMillis <= pending.latestStartMillis()
+				&& !isAtLimit(shard, pending);
+		return (patient && isHome(shard, pending)) ? nowMillis + waitMillis : 0;
+	}
+
+	private boolean isHome(Shard shard, PendingAsk pending) {
+		return this.route.route(shard.id().pool(), pending.ask().chatHash()).indexOf(shard.id()) == 0;
+	}
+
+	private Optional<ShardId> shardWithRoom(Shard shard, GrantAsk ask, long nowMillis) {
 		int bound = shard.pool().bound(nowMillis);
-		return route.route(shard.id().pool(), ask.chatHash())
+		return this.route.route(shard.id().pool(), ask.chatHash())
 			.stream()
 			.filter((other) -> shard.pool().heard(other).filter((load) -> hasRoom(load, bound)).isPresent())
 			.findFirst();
@@ -80,6 +130,42 @@
 		return load.queued() == 0 && load.granted() < Math.min(load.slots(), bound * load.openTargets());
 	}
 
+	private void queue(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
+		if (!shard.hasTargetFor(pending.ask().excludedTargets())) {
+			actions.add(refuse(shard, pending, RefusalCode.NO_TARGET, nowMillis));
+		}
+		else if (nowMillis + backlogMillis(shard, pending) > pending.latestStartMillis()) {
+			RefusalCode code = isAtLimit(shard, pending) ? RefusalCode.LIMIT_REACHED : RefusalCode.OVERLOADED;
+			actions.add(refuse(shard, pending, code, nowMillis));
+		}
+		else if (shard.queue().size() < this.settings.queueLimit() || evict(shard, pending, nowMillis, actions)) {
+			shard.queue().add(pending);
+		}
+		else {
+			actions.add(refuse(shard, pending, RefusalCode.OVERLOADED, nowMillis));
+		}
+	}
+
+	private boolean evict(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
+		Optional<PendingAsk> evicted = shard.queue().removeLastBelow(pending.ask().serviceClass());
+		evicted.ifPresent((lower) -> actions.add(refuse(shard, lower, RefusalCode.OVERLOADED, nowMillis)));
+		return evicted.isPresent();
+	}
+
+	private double backlogMillis(Shard shard, PendingAsk pending) {
+		int slots = Math.max(1, shard.openSlots());
+		int limit = isAtLimit(shard, pending) ? Math.max(1, limit(shard, pending)) : slots;
+		return shard.queue().workAheadMillis(pending) / (double) Math.min(slots, limit);
+	}
+
+	private int limit(Shard shard, PendingAsk pending) {
+		return this.shares.limit(shard.id(), pending.ask().organisation());
+	}
+
+	private boolean isAtLimit(Shard shard, PendingAsk pending) {
+		return !isNaive() && shard.granted(pending.ask().organisation()) >= limit(shard, pending);
+	}
+
 	/**
 	 * Grants what waits and fits.
 	 * @param shard the shard
@@ -94,53 +180,71 @@
 	}
 
 	private boolean place(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
-		Optional<TargetSlots> slots = this.choice.choose(shard, pending, nowMillis);
-		slots.ifPresent((chosen) -> {
-			this.lastGrantId++;
+		if (isAtLimit(shard, pending)) {
+			return false;
+		}
+		Optional<TargetSlots> chosen = this.choice.choose(shard, pending, nowMillis);
+		chosen.ifPresent((slots) -> {
 			GrantAsk ask = pending.ask();
-			Grant grant = new Grant(pending.key(), this.lastGrantId, pending.sender(), chosen.target().id(),
-					ask.organisation(), ask.serviceClass(), nowMillis, nowMillis + this.settings.grantLifeMillis());
+			this.lastGrantId++;
+			Grant grant = new Grant(pending.key(), this.lastGrantId, pending.sender(), slots.target().id(),
+					Optional.of(ask.entry()), pending.workMillis(), ask.organisation(), ask.serviceClass(), nowMillis,
+					nowMillis + this.settings.grantLifeMillis());
 			shard.addGrant(grant);
-			actions.add(granted(pending, grant));
+			actions.add(GrantAnswers.granted(pending.sender(), ask, grant));
 		});
-		return slots.isPresent();
+		return chosen.isPresent();
 	}
 
 	/**
-	 * Refuses what can no longer meet its deadline.
+	 * Sends asks that came without leave to queue to shards that have room by now.
 	 * @param shard the shard
 	 * @param nowMillis the time
 	 * @param actions takes the answers
 	 */
-	void refuseLate(Shard shard, long nowMillis, List<NodeAction> actions) {
-		shard.queue()
-			.removeLate(nowMillis)
-			.forEach((pending) -> actions.add(refuse(shard, pending, RefusalCode.OVERLOADED)));
+	void redirect(Shard shard, long nowMillis, List<NodeAction> actions) {
+		boolean moved = !isNaive();
+		for (int i = 0; moved && i < REDIRECTS_PER_TICK && shard.queue().size() > 0; i++) {
+			moved = shard.queue().removeFirst((pending) -> redirect(shard, pending, nowMillis, actions));
+		}
 	}
 
-	private NodeAction refuse(Shard shard, PendingAsk pending, RefusalCode code) {
-		long backlogMillis = shard.queue().size() * pending.ask().expectedWorkMillis() / Math.max(1, shard.openSlots());
-		long retryAfterMillis = Math.max(SHORTEST_RETRY_MILLIS, backlogMillis);
-		return answer(pending, shard.id(), GrantVerdict.REFUSED, retryAfterMillis, Optional.of(code));
+	private boolean redirect(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
+		if (pending.ask().mayQueue() || pending.homeOnlyUntilMillis() > nowMillis) {
+			return false;
+		}
+		Optional<ShardId> other = shardWithRoom(shard, pending.ask(), nowMillis);
+		other.ifPresent((room) -> actions.add(GrantAnswers.redirected(pending, room)));
+		return other.isPresent();
 	}
 
-	static NodeAction notOwner(VmId sender, GrantAsk ask) {
-		return new SendPeer(sender, new GrantAnswer(ask.requestId(), ask.attempt(), ask.shard(), GrantVerdict.NOT_OWNER,
-				0, Optional.empty(), 0, 0, Optional.empty()));
+	/**
+	 * Refuses what can no longer meet its deadline.
+	 * @param shard the shard
+	 * @param nowMillis the time
+	 * @param actions takes the answers
+	 */
+	void refuseLate(Shard shard, long nowMillis, List<NodeAction> actions) {
+		shard.queue()
+			.removeLate(nowMillis)
+			.forEach((pending) -> actions.add(refuse(shard, pending, RefusalCode.OVERLOADED, nowMillis)));
 	}
 
-	private static NodeAction granted(PendingAsk pending, Grant grant) {
-		GrantAsk ask = pending.ask();
-		return new SendPeer(pending.sender(),
-				new GrantAnswer(ask.requestId(), ask.attempt(), ask.shard(), GrantVerdict.GRANTED, grant.grantId(),
-						Optional.of(grant.target()), grant.expiryMillis(), 0, Optional.empty()));
+	private NodeAction refuse(Shard shard, PendingAsk pending, RefusalCode code, long nowMillis) {
+		double paceMillis = pending.workMillis() / (double) Math.max(1, shard.openSlots());
+		long retryAfterMillis = this.retries.retryAfterMillis(pending.ask().serviceClass(),
+				backlogMillis(shard, pending), paceMillis, nowMillis);
+		return GrantAnswers.refused(pending, code, retryAfterMillis);
 	}
 
-	private static NodeAction answer(PendingAsk pending, ShardId shard, GrantVerdict verdict, long retryAfterMillis,
-			Optional<RefusalCode> code) {
-		GrantAsk ask = pending.ask();
-		return new SendPeer(pending.sender(), new GrantAnswer(ask.requestId(), ask.attempt(), shard, verdict, 0,
-				Optional.empty(), 0, retryAfterMillis, code));
+	/**
+	 * Learns from the end of a grant.
+	 * @param grant the grant
+	 * @param nowMillis the time
+	 */
+	void learn(Grant grant, long nowMillis) {
+		grant.entry()
+			.ifPresent((entry) -> this.serviceTimes.add(entry, nowMillis - grant.grantedAtMillis(), nowMillis));
 	}
 
 }
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/OrganisationShares.java
@@ -0,0 +1,74 @@
+package org.mustardlane.core.admission;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.Organisation;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.Rendezvous;
+import org.mustardlane.core.model.common.ShardId;
+
+/**
+ * Splits the concurrency limit of each organisation over the shards of a pool.
+ *
+ * <p>
+ * The parts follow the slots of the shards and add up to the limit, so that no
+ * organisation passes its limit in a pool while each shard has one owner. What division
+ * leaves over goes to shards in the rendezvous order of the organisation.
+ */
+final class OrganisationShares {
+
+	private final CatalogueSnapshot catalogue;
+
+	private final Map<PoolId, Map<ShardId, Integer>> slots = new HashMap<>();
+
+	private final Map<ShardId, Map<OrganisationId, Integer>> shares = new HashMap<>();
+
+	OrganisationShares(CatalogueSnapshot catalogue) {
+		this.catalogue = catalogue;
+		catalogue.shards()
+			.forEach((shard, targets) -> this.slots.computeIfAbsent(shard.pool(), (pool) -> new HashMap<>())
+				.put(shard, targets.stream().mapToInt(Target::slots).sum()));
+	}
+
+	/**
+	 * Returns the most grants that an organisation may hold in a shard.
+	 * @param shard the shard
+	 * @param organisation the organisation
+	 * @return the part of its limit, which may be 0; no limit for an organisation that
+	 * the catalogue does not hold
+	 */
+	int limit(ShardId shard, OrganisationId organisation) {
+		return this.shares.computeIfAbsent(shard, (key) -> new HashMap<>())
+			.computeIfAbsent(organisation, (key) -> computeLimit(shard, key));
+	}
+
+	private int computeLimit(ShardId shard, OrganisationId organisation) {
+		Organisation known = this.catalogue.organisations().get(organisation);
+		Map<ShardId, Integer> pool = this.slots.getOrDefault(shard.pool(), Map.of());
+		if (known == null || !pool.containsKey(shard)) {
+			return Integer.MAX_VALUE;
+		}
+		long total = Math.max(1, pool.values().stream().mapToInt(Integer::intValue).sum());
+		Comparator<ShardId> largestRemainder = Comparator
+			.comparingLong((ShardId part) -> -(known.concurrencyLimit() * (long) pool.get(part) % total));
+		List<ShardId> order = Rendezvous.rank(Rendezvous.hash(organisation.value()), pool.keySet())
+			.stream()
+			.sorted(largestRemainder)
+			.toList();
+		long floors = pool.values().stream().mapToLong((part) -> known.concurrencyLimit() * (long) part / total).sum();
+		int extra = (order.indexOf(shard) < known.concurrencyLimit() - floors) ? 1 : 0;
+		return (int) (known.concurrencyLimit() * (long) pool.get(shard) / total) + extra;
+	}
+
+	int weight(OrganisationId organisation) {
+		Organisation known = this.catalogue.organisations().get(organisation);
+		return (known != null) ? known.weight() : 1;
+	}
+
+}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/PendingAsk.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PendingAsk.java
@@ -10,14 +10,22 @@
  * @param sender the router that asked
  * @param ask the ask
  * @param arrivedAtMillis when it arrived
+ * @param workMillis how long it will use a slot, as learned
  * @param homeOnlyUntilMillis until when only the home target of its chat will do
- * @param latestStartMillis when it can no longer meet its deadline
  */
-record PendingAsk(AskKey key, VmId sender, GrantAsk ask, long arrivedAtMillis, long homeOnlyUntilMillis,
-		long latestStartMillis) {
+record PendingAsk(AskKey key, VmId sender, GrantAsk ask, long arrivedAtMillis, long workMillis,
+		long homeOnlyUntilMillis) {
 
 	PendingAsk waitingForHomeUntil(long millis) {
-		return new PendingAsk(this.key, this.sender, this.ask, this.arrivedAtMillis, millis, this.latestStartMillis);
+		return new PendingAsk(this.key, this.sender, this.ask, this.arrivedAtMillis, this.workMillis, millis);
+	}
+
+	/**
+	 * Returns when it can no longer meet its deadline.
+	 * @return the latest start
+	 */
+	long latestStartMillis() {
+		return this.ask.deadlineMillis() - this.workMillis;
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/RoundRobinChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/RoundRobinChoice.java
@@ -24,7 +24,7 @@
 	}
 
 	private static boolean isFree(TargetSlots slots, PendingAsk pending, long nowMillis) {
-		return slots.isOpen() && !pending.ask().excludedTargets().contains(slots.target().id())
+		return !slots.isLeaving() && !pending.ask().excludedTargets().contains(slots.target().id())
 				&& slots.used(nowMillis) < slots.target().slots();
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -7,10 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import org.mustardlane.core.model.catalogue.ServiceClass;
 import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.OrganisationId;
 import org.mustardlane.core.model.common.ShardId;
 import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.target.HealthReview;
+import org.mustardlane.core.target.TargetHealth;
 
 /**
  * The targets, grants and queue of one shard.
@@ -30,6 +35,14 @@
 
 	private Map<TargetId, TargetSlots> targets = new LinkedHashMap<>();
 
+	private final Map<OrganisationId, Integer> grantsByOrganisation = new HashMap<>();
+
+	private final WorkMix work = new WorkMix();
+
+	private final HealthReview health = new HealthReview();
+
+	private int shortGranted;
+
 	private boolean owned;
 
 	private int openTargets;
@@ -93,7 +106,7 @@
 				this.grants.values()
 					.stream()
 					.filter((grant) -> grant.target().equals(member.id()))
-					.forEach((grant) -> slots.adoptGrant(grant.serviceClass()));
+					.forEach(slots::adoptGrant);
 			}
 		}
 		this.targets = next;
@@ -119,6 +132,28 @@
 		}
 	}
 
+	WorkMix work() {
+		return this.work;
+	}
+
+	boolean hasOpenTarget() {
+		return this.openTargets > 0;
+	}
+
+	/**
+	 * Tells whether some target may run a request.
+	 * @param excluded targets that have failed the request
+	 * @return false where all targets are leaving or excluded
+	 */
+	boolean hasTargetFor(Set<TargetId> excluded) {
+		for (TargetSlots slots : this.targets.values()) {
+			if (!slots.isLeaving() && !excluded.contains(slots.target().id())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	int openTargets() {
 		return this.openTargets;
 	}
@@ -165,11 +200,8 @@
 	}
 
 	void addGrant(Grant grant) {
-		this.grants.put(grant.key(), grant);
-		target(grant.target()).ifPresent((slots) -> {
-			slots.addGrant(grant.serviceClass());
-			this.openGranted += slots.isOpen() ? 1 : 0;
-		});
+		put(grant);
+		target(grant.target()).ifPresent((slots) -> slots.addGrant(grant));
 	}
 
 	/**
@@ -177,11 +209,15 @@
 	 * @param grant the grant
 	 */
 	void adoptGrant(Grant grant) {
+		put(grant);
+		target(grant.target()).ifPresent((slots) -> slots.adoptGrant(grant));
+	}
+
+	private void put(Grant grant) {
 		this.grants.put(grant.key(), grant);
-		target(grant.target()).ifPresent((slots) -> {
-			slots.adoptGrant(grant.serviceClass());
-			this.openGranted += slots.isOpen() ? 1 : 0;
-		});
+		this.grantsByOrganisation.merge(grant.organisation(), 1, Integer::sum);
+		this.shortGranted += (grant.serviceClass() == ServiceClass.BULK) ? 0 : 1;
+		this.openGranted += target(grant.target()).filter(TargetSlots::isOpen).isPresent() ? 1 : 0;
 	}
 
 	void renewGrant(Grant grant, long expiryMillis) {
@@ -192,10 +228,34 @@
 		if (!this.grants.remove(grant.key(), grant)) {
 			return;
 		}
-		target(grant.target()).ifPresent((slots) -> {
-			slots.removeGrant(grant.serviceClass());
-			this.openGranted -= slots.isOpen() ? 1 : 0;
-		});
+		this.grantsByOrganisation.computeIfPresent(grant.organisation(),
+				(organisation, count) -> (count > 1) ? count - 1 : null);
+		this.shortGranted -= (grant.serviceClass() == ServiceClass.BULK) ? 0 : 1;
+		this.openGranted -= target(grant.target()).filter(TargetSlots::isOpen).isPresent() ? 1 : 0;
+		target(grant.target()).ifPresent((slots) -> slots.removeGrant(grant));
+	}
+
+	int granted(OrganisationId organisation) {
+		return this.grantsByOrganisation.getOrDefault(organisation, 0);
+	}
+
+	/**
+	 * Lets time pass: samples the mix of the work and reviews the health of the targets.
+	 * @param millis the time that has passed
+	 * @param nowMillis the time
+	 */
+	void review(long millis, long nowMillis) {
+		this.work.sample(this.shortGranted, nowMillis);
+		List<TargetHealth> staying = new ArrayList<>();
+		for (TargetSlots slots : this.targets.values()) {
+			slots.elapse(millis);
+			if (!slots.isLeaving()) {
+				staying.add(slots.health());
+			}
+		}
+		if (this.health.review(staying)) {
+			recount();
+		}
 	}
 
 	List<Grant> lapsedGrants(long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/ShardTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/ShardTable.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
-import org.mustardlane.core.chat.ShardRoute;
 import org.mustardlane.core.model.catalogue.CatalogueEntry;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
 import org.mustardlane.core.model.common.DomainId;
@@ -47,8 +46,6 @@
 
 	private CatalogueSnapshot catalogue = CatalogueSnapshot.EMPTY;
 
-	private ShardRoute route = new ShardRoute(CatalogueSnapshot.EMPTY);
-
 	private Optional<Ownership> ownership = Optional.empty();
 
 	private VmList vmList = new VmList(0, List.of());
@@ -62,10 +59,6 @@
 		return this.catalogue;
 	}
 
-	ShardRoute route() {
-		return this.route;
-	}
-
 	PoolLoad pool(PoolId pool) {
 		return this.pools.computeIfAbsent(pool, (key) -> new PoolLoad());
 	}
@@ -112,7 +105,6 @@
 	 */
 	List<Shard> take(CatalogueSnapshot snapshot, long nowMillis) {
 		this.catalogue = snapshot;
-		this.route = new ShardRoute(snapshot);
 		return refresh(nowMillis);
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetChoice.java
@@ -16,4 +16,16 @@
 	 */
 	Optional<TargetSlots> choose(Shard shard, PendingAsk pending, long nowMillis);
 
+	/**
+	 * Returns how long an ask should wait for the home target of its chat before it goes
+	 * elsewhere.
+	 * @param shard the home shard of the chat
+	 * @param pending the ask
+	 * @param nowMillis the time
+	 * @return the longest wait in milliseconds, 0 where it should not wait
+	 */
+	default long homeWaitMillis(Shard shard, PendingAsk pending, long nowMillis) {
+		return 0;
+	}
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
@@ -4,6 +4,7 @@
 import org.mustardlane.core.model.catalogue.Target;
 import org.mustardlane.core.model.common.Rendezvous;
 import org.mustardlane.core.model.target.LoadReport;
+import org.mustardlane.core.target.TargetHealth;
 
 /**
  * The slots of one target, as the owner of its shard counts them.
@@ -21,8 +22,12 @@
 
 	private final int[] grantedByClass = new int[ServiceClass.values().length];
 
+	private final TargetHealth health = new TargetHealth();
+
 	private int granted;
 
+	private double releasesPerMilli;
+
 	private boolean listedLeaving;
 
 	private boolean reportedLeaving;
@@ -56,12 +61,20 @@
 		return this.grantedByClass[serviceClass.ordinal()];
 	}
 
+	TargetHealth health() {
+		return this.health;
+	}
+
+	boolean isLeaving() {
+		return this.listedLeaving || this.reportedLeaving;
+	}
+
 	/**
-	 * Tells whether the target takes new work.
-	 * @return false where the target is leaving
+	 * Tells whether the target counts as one that takes new work.
+	 * @return false where the target is leaving or eased out
 	 */
 	boolean isOpen() {
-		return !this.listedLeaving && !this.reportedLeaving;
+		return !isLeaving() && this.health.isOpen();
 	}
 
 	/**
@@ -101,20 +114,40 @@
 		this.nextPollMillis = firstPollMillis;
 	}
 
-	void addGrant(ServiceClass serviceClass) {
-		this.granted++;
-		this.grantedByClass[serviceClass.ordinal()]++;
+	void addGrant(Grant grant) {
+		count(grant, 1);
 		this.grantedInWarmUp++;
+		this.health.granted(grant.grantedAtMillis());
+	}
+
+	void adoptGrant(Grant grant) {
+		count(grant, 1);
 	}
 
-	void adoptGrant(ServiceClass serviceClass) {
-		this.granted++;
-		this.grantedByClass[serviceClass.ordinal()]++;
+	void removeGrant(Grant grant) {
+		count(grant, -1);
 	}
 
-	void removeGrant(ServiceClass serviceClass) {
-		this.granted--;
-		this.grantedByClass[serviceClass.ordinal()]--;
+	private void count(Grant grant, int change) {
+		this.granted += change;
+		this.grantedByClass[grant.serviceClass().ordinal()] += change;
+		this.releasesPerMilli += (grant.workMillis() > 0) ? (double) change / grant.workMillis() : 0;
+	}
+
+	/**
+	 * Returns the mean time until the next grant is given back.
+	 * @return milliseconds
+	 */
+	double expectedReleaseMillis() {
+		return (this.releasesPerMilli > 0) ? 1 / this.releasesPerMilli : Double.MAX_VALUE;
+	}
+
+	/**
+	 * Lets time pass for the health of the target.
+	 * @param millis the time that has passed
+	 */
+	void elapse(long millis) {
+		this.health.elapse(this.releasesPerMilli * millis, this.granted);
 	}
 
 	void report(LoadReport report) {
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/SampleWindow.java
@@ -0,0 +1,42 @@
+package org.mustardlane.core.target;
+
+import java.util.Arrays;
+
+/**
+ * The newest samples of a quantity and their median.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class SampleWindow {
+
+	private static final int SIZE = 5;
+
+	private final long[] samples = new long[SIZE];
+
+	private int count;
+
+	private int next;
+
+	void add(long sample) {
+		this.samples[this.next] = sample;
+		this.next = (this.next + 1) % SIZE;
+		this.count = Math.min(SIZE, this.count + 1);
+	}
+
+	void clear() {
+		this.count = 0;
+		this.next = 0;
+	}
+
+	int count() {
+		return this.count;
+	}
+
+	long median() {
+		long[] sorted = Arrays.copyOf(this.samples, this.count);
+		Arrays.sort(sorted);
+		return (this.count == 0) ? 0 : sorted[(this.count - 1) / 2];
+	}
+
+}
