--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/RouterDaemon.java
@@ -0,0 +1,107 @@
+package org.mustardlane.router;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import sun.misc.Signal;
+
+import org.mustardlane.router.settings.RouterSettings;
+import org.mustardlane.router.settings.SettingsException;
+import org.mustardlane.router.settings.SettingsReader;
+
+/**
+ * The program: reads the settings, starts a router and stops it when it is told to.
+ */
+public final class RouterDaemon {
+
+	private static final int EXIT_USAGE = 2;
+
+	private static final int EXIT_FAILED = 1;
+
+	private static final int EXIT_SECOND_SIGNAL = 3;
+
+	private RouterDaemon() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(run(arguments));
+	}
+
+	private static int run(String[] arguments) {
+		try {
+			if (arguments.length == 1 && "--version".equals(arguments[0])) {
+				System.out.println("mustardlane-router " + Router.version());
+				return 0;
+			}
+			if (arguments.length == 1 && "--help".equals(arguments[0])) {
+				HelpFormatter.builder()
+					.setShowSince(false)
+					.get()
+					.printHelp("mustardlane-router", "", SettingsReader.options(), "", true);
+				return 0;
+			}
+			SettingsReader reader = new SettingsReader(arguments, System.getenv());
+			return serve(reader.read(), reader.redacted());
+		}
+		catch (SettingsException ex) {
+			ex.findings().forEach((finding) -> System.err.println("setting " + finding));
+			return EXIT_USAGE;
+		}
+		catch (IOException ex) {
+			System.err.println(ex.getMessage());
+			return EXIT_FAILED;
+		}
+	}
+
+	private static int serve(RouterSettings settings, String redacted) throws IOException {
+		System.setProperty("mustardlane.vm", settings.vm().value());
+		System.setProperty("mustardlane.domain", settings.domain().value());
+		Logger logger = LogManager.getLogger(RouterDaemon.class);
+		logger.info("Settings: {}", redacted);
+		try (Router router = new Router(settings)) {
+			RouterPorts ports = router.start();
+			stopOnSignals(router, logger);
+			System.out.println("LISTENING " + json(settings, ports));
+			System.out.flush();
+			router.awaitDrained();
+			logger.info("Stopped");
+			return 0;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return EXIT_FAILED;
+		}
+	}
+
+	private static void stopOnSignals(Router router, Logger logger) {
+		AtomicBoolean stopping = new AtomicBoolean();
+		for (String name : new String[] { "TERM", "INT" }) {
+			Signal.handle(new Signal(name), (signal) -> {
+				if (!stopping.compareAndSet(false, true)) {
+					logger.warn("Second signal: ending at once");
+					Runtime.getRuntime().halt(EXIT_SECOND_SIGNAL);
+				}
+				router.drain(0);
+			});
+		}
+	}
+
+	private static String json(RouterSettings settings, RouterPorts ports) {
+		return JsonNodeFactory.instance.objectNode()
+			.put("vm", settings.vm().value())
+			.put("callerPort", ports.callerPort())
+			.put("peerPort", ports.peerPort())
+			.put("operatorPort", ports.operatorPort())
+			.put("metricsPort", ports.metricsPort())
+			.toString();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/DecodeErrors.java
@@ -0,0 +1,33 @@
+package org.mustardlane.router.caller;
+
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+
+/**
+ * Maps failures of the HTTP decoder to errors of the contract.
+ */
+final class DecodeErrors {
+
+	private DecodeErrors() {
+	}
+
+	/**
+	 * Maps a failure.
+	 * @param cause what the decoder says
+	 * @return the error for the caller
+	 */
+	static ProtocolException of(Throwable cause) {
+		if (cause instanceof TooLongHttpLineException) {
+			return new ProtocolException(ProtocolError.LINE_TOO_LONG, "");
+		}
+		if (cause instanceof TooLongHttpHeaderException) {
+			return new ProtocolException(ProtocolError.HEADERS_TOO_LARGE, "");
+		}
+		if (cause instanceof TooLongFrameException) {
+			return new ProtocolException(ProtocolError.MALFORMED_HTTP, "a part is too long");
+		}
+		return new ProtocolException(ProtocolError.MALFORMED_HTTP, "");
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP towards callers.
+ */
+@NullMarked
+package org.mustardlane.router.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorService.java
@@ -0,0 +1,121 @@
+package org.mustardlane.router.operator;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.LongConsumer;
+
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+
+import org.mustardlane.core.event.PublishRequested;
+import org.mustardlane.core.model.catalogue.CatalogueChange;
+import org.mustardlane.core.model.catalogue.PublishResult;
+import org.mustardlane.core.node.Node;
+import org.mustardlane.protocol.DrainAnswer;
+import org.mustardlane.protocol.DrainRequest;
+import org.mustardlane.protocol.OperatorServiceGrpc;
+import org.mustardlane.protocol.PublishAnswer;
+import org.mustardlane.protocol.PublishRequest;
+import org.mustardlane.protocol.ShowCatalogueAnswer;
+import org.mustardlane.protocol.ShowCatalogueRequest;
+import org.mustardlane.protocol.StatusAnswer;
+import org.mustardlane.protocol.StatusRequest;
+import org.mustardlane.protocol.TimelineEntry;
+import org.mustardlane.protocol.TimelineRequest;
+import org.mustardlane.router.worker.RouterClock;
+
+/**
+ * Answers operators.
+ */
+public final class OperatorService extends OperatorServiceGrpc.OperatorServiceImplBase {
+
+	private static final long MOST_PUBLISH_MILLIS = 60_000;
+
+	private final Node node;
+
+	private final RouterClock clock;
+
+	private final TimelineStore timeline;
+
+	private final PendingPublishes publishes;
+
+	private final LongConsumer drain;
+
+	private final String version;
+
+	/**
+	 * Creates the service.
+	 * @param node the node
+	 * @param clock the time
+	 * @param timeline the events of this process
+	 * @param publishes hands changes to the node
+	 * @param drain starts a drain until a deadline, 0 for the one of the settings
+	 * @param version version of the program
+	 */
+	public OperatorService(Node node, RouterClock clock, TimelineStore timeline, PendingPublishes publishes,
+			LongConsumer drain, String version) {
+		this.node = node;
+		this.clock = clock;
+		this.timeline = timeline;
+		this.publishes = publishes;
+		this.drain = drain;
+		this.version = version;
+	}
+
+	@Override
+	public void status(StatusRequest request, StreamObserver<StatusAnswer> observer) {
+		observer.onNext(OperatorAnswers.status(this.node.status(), this.clock.nowMillis(), this.version));
+		observer.onCompleted();
+	}
+
+	@Override
+	public void drain(DrainRequest request, StreamObserver<DrainAnswer> observer) {
+		int inFlight = this.node.status().requestsInFlight();
+		this.drain.accept(request.getDeadlineMillis());
+		observer.onNext(DrainAnswer.newBuilder().setRequestsInFlight(inFlight).build());
+		observer.onCompleted();
+	}
+
+	@Override
+	public void timeline(TimelineRequest request, StreamObserver<TimelineEntry> observer) {
+		this.timeline.read(request.getAfterHybridTime(), request.getRequestId())
+			.forEach((event) -> observer.onNext(OperatorAnswers.timeline(event)));
+		observer.onCompleted();
+	}
+
+	@Override
+	public void publishCatalogue(PublishRequest request, StreamObserver<PublishAnswer> observer) {
+		if (request.getChangeId().isEmpty()) {
+			observer.onError(Status.INVALID_ARGUMENT.withDescription("change_id is required").asRuntimeException());
+			return;
+		}
+		long nowMillis = this.clock.nowMillis();
+		long latestMillis = nowMillis + MOST_PUBLISH_MILLIS;
+		long deadlineMillis = (request.getDeadlineMillis() > 0) ? Math.min(request.getDeadlineMillis(), latestMillis)
+				: latestMillis;
+		CatalogueChange change = new CatalogueChange(request.getChangeId(), request.getAuthor(),
+				request.getChangeYaml());
+		CompletableFuture<PublishResult> result = this.publishes.publish(new PublishRequested(change, deadlineMillis));
+		result.copy()
+			.orTimeout(Math.max(1, deadlineMillis - nowMillis) + 1000, TimeUnit.MILLISECONDS)
+			.handle((ended, failure) -> (failure != null) ? unknown(failure) : OperatorAnswers.publish(ended))
+			.thenAccept((answer) -> {
+				observer.onNext(answer);
+				observer.onCompleted();
+			});
+	}
+
+	private static PublishAnswer unknown(Throwable failure) {
+		String message = (failure instanceof TimeoutException) ? "the change was not settled in time"
+				: String.valueOf(failure.getMessage());
+		return PublishAnswer.newBuilder().setVerdict(PublishAnswer.Verdict.UNKNOWN).setMessage(message).build();
+	}
+
+	@Override
+	public void showCatalogue(ShowCatalogueRequest request, StreamObserver<ShowCatalogueAnswer> observer) {
+		observer.onNext(ShowCatalogueAnswer.newBuilder().setRevision(this.node.catalogue().revision()).build());
+		observer.onCompleted();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/operator/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * gRPC towards operators.
+ */
+@NullMarked
+package org.mustardlane.router.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/ChunkSender.java
@@ -0,0 +1,83 @@
+package org.mustardlane.router.peer;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+
+import org.mustardlane.core.model.execution.Refusal;
+import org.mustardlane.protocol.AnswerChunk;
+import org.mustardlane.router.answer.AnswerHead;
+import org.mustardlane.router.answer.AnswerReader;
+
+/**
+ * Sends an answer of this router to another one that joined it.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class ChunkSender implements AnswerReader {
+
+	private final ServerCallStreamObserver<AnswerChunk> call;
+
+	private Runnable waiting = ChunkSender::nothing;
+
+	ChunkSender(ServerCallStreamObserver<AnswerChunk> call) {
+		this.call = call;
+		call.setOnReadyHandler(this::ready);
+		call.setOnCancelHandler(ChunkSender::nothing);
+	}
+
+	private static void nothing() {
+	}
+
+	@Override
+	public synchronized void begin(AnswerHead head) {
+		send(AnswerChunk.newBuilder().setStatus(head.status()).setContentType(head.contentType()).build());
+	}
+
+	@Override
+	public void write(byte[] part, Runnable ready) {
+		boolean isReady;
+		synchronized (this) {
+			send(AnswerChunk.newBuilder().setData(ByteString.copyFrom(part)).build());
+			isReady = this.call.isReady() || this.call.isCancelled();
+			if (!isReady) {
+				this.waiting = ready;
+			}
+		}
+		if (isReady) {
+			ready.run();
+		}
+	}
+
+	@Override
+	public synchronized void finish() {
+		send(AnswerChunk.newBuilder().setWhole(true).build());
+		if (!this.call.isCancelled()) {
+			this.call.onCompleted();
+		}
+	}
+
+	@Override
+	public synchronized void abort(Refusal refusal) {
+		if (!this.call.isCancelled()) {
+			this.call.onError(Status.ABORTED.withDescription(refusal.message()).asRuntimeException());
+		}
+	}
+
+	private void send(AnswerChunk chunk) {
+		if (!this.call.isCancelled()) {
+			this.call.onNext(chunk);
+		}
+	}
+
+	private void ready() {
+		Runnable next;
+		synchronized (this) {
+			next = this.waiting;
+			this.waiting = ChunkSender::nothing;
+		}
+		next.run();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerDialer.java
@@ -0,0 +1,60 @@
+package org.mustardlane.router.peer;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.grpc.ChannelCredentials;
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * Opens connections to other routers.
+ */
+final class PeerDialer {
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+	private static final int KEEP_ALIVE_MILLIS = 10_000;
+
+	private static final int KEEP_ALIVE_TIMEOUT_MILLIS = 3000;
+
+	private static final int MOST_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+	private final ChannelCredentials credentials;
+
+	private final EventLoopGroup loops;
+
+	/**
+	 * Creates the dialer.
+	 * @param identity the files of this router, empty for plain text
+	 * @param loops threads of the connections
+	 * @throws IOException if a file can not be read
+	 */
+	PeerDialer(Optional<TlsIdentity> identity, EventLoopGroup loops) throws IOException {
+		this.credentials = TlsIdentity.client(identity);
+		this.loops = loops;
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param address the other router
+	 * @return the connection, which is made on first use
+	 */
+	ManagedChannel dial(PeerAddress address) {
+		return NettyChannelBuilder.forAddress(address.host(), address.port(), this.credentials)
+			.eventLoopGroup(this.loops)
+			.channelType(NioSocketChannel.class)
+			.directExecutor()
+			.disableRetry()
+			.withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.keepAliveTime(KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS)
+			.keepAliveTimeout(KEEP_ALIVE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.maxInboundMessageSize(MOST_MESSAGE_BYTES)
+			.build();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageEncoder.java
@@ -0,0 +1,243 @@
+package org.mustardlane.router.peer;
+
+import com.google.protobuf.ByteString;
+
+import org.mustardlane.core.message.CatalogueRelay;
+import org.mustardlane.core.message.CatalogueRelayAsk;
+import org.mustardlane.core.message.ClaimAnswer;
+import org.mustardlane.core.message.ClaimAsk;
+import org.mustardlane.core.message.ClaimCompletion;
+import org.mustardlane.core.message.ClaimRelease;
+import org.mustardlane.core.message.Gossip;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantAsk;
+import org.mustardlane.core.message.GrantRelease;
+import org.mustardlane.core.message.GrantRenewal;
+import org.mustardlane.core.message.HeldGrant;
+import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.message.ShardLoad;
+import org.mustardlane.core.message.VmListRelay;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.execution.RefusalCode;
+import org.mustardlane.core.model.log.LogRecord;
+import org.mustardlane.core.model.membership.VmHeartbeat;
+import org.mustardlane.protocol.PeerFrame;
+import org.mustardlane.protocol.RelayedRecord;
+import org.mustardlane.protocol.Shard;
+
+/**
+ * Writes messages to other routers as frames.
+ */
+final class PeerMessageEncoder {
+
+	private PeerMessageEncoder() {
+	}
+
+	/**
+	 * Writes a message.
+	 * @param message the message
+	 * @return a frame that holds the message and nothing else
+	 */
+	static PeerFrame.Builder encode(PeerMessage message) {
+		PeerFrame.Builder frame = PeerFrame.newBuilder();
+		if (message instanceof GrantAsk ask) {
+			return frame.setGrantAsk(grantAsk(ask));
+		}
+		if (message instanceof GrantAnswer answer) {
+			return frame.setGrantAnswer(grantAnswer(answer));
+		}
+		if (message instanceof GrantRelease release) {
+			return frame.setGrantRelease(grantRelease(release));
+		}
+		if (message instanceof GrantRenewal renewal) {
+			return frame.setGrantRenewal(grantRenewal(renewal));
+		}
+		if (message instanceof ShardLoad load) {
+			return frame.setShardLoad(shardLoad(load));
+		}
+		if (message instanceof Gossip gossip) {
+			return frame.setGossip(gossip(gossip));
+		}
+		return encodeLogMessage(message, frame);
+	}
+
+	private static PeerFrame.Builder encodeLogMessage(PeerMessage message, PeerFrame.Builder frame) {
+		if (message instanceof ClaimAsk ask) {
+			return frame.setClaimAsk(claimAsk(ask));
+		}
+		if (message instanceof ClaimAnswer answer) {
+			return frame.setClaimAnswer(claimAnswer(answer));
+		}
+		if (message instanceof ClaimRelease release) {
+			return frame.setClaimRelease(org.mustardlane.protocol.ClaimRelease.newBuilder()
+				.setClaimKey(release.claimKey())
+				.setAttemptId(release.attemptId()));
+		}
+		if (message instanceof ClaimCompletion completion) {
+			return frame.setClaimCompletion(claimCompletion(completion));
+		}
+		if (message instanceof CatalogueRelayAsk ask) {
+			return frame.setCatalogueRelayAsk(
+					org.mustardlane.protocol.CatalogueRelayAsk.newBuilder().setFromOffset(ask.fromOffset()));
+		}
+		if (message instanceof CatalogueRelay relay) {
+			return frame.setCatalogueRelay(catalogueRelay(relay));
+		}
+		if (message instanceof VmListRelay relay) {
+			return frame.setVmListRelay(org.mustardlane.protocol.VmListRelay.newBuilder()
+				.setVersion(relay.vmList().version())
+				.setVmList(ByteString.copyFrom(VmListJson.write(relay.vmList()))));
+		}
+		throw new IllegalArgumentException("No frame for " + message.getClass().getSimpleName());
+	}
+
+	private static Shard shard(ShardId shard) {
+		return Shard.newBuilder()
+			.setPool(shard.pool().value())
+			.setDomain(shard.domain().value())
+			.setIndex(shard.index())
+			.build();
+	}
+
+	private static org.mustardlane.protocol.GrantAsk.Builder grantAsk(GrantAsk ask) {
+		return org.mustardlane.protocol.GrantAsk.newBuilder()
+			.setRequestId(ask.requestId().value())
+			.setAttempt(ask.attempt())
+			.setShard(shard(ask.shard()))
+			.setEntry(ask.entry().value())
+			.setOrganisation(ask.organisation().value())
+			.setServiceClass(ask.serviceClass().ordinal())
+			.setChatHash(ask.chatHash())
+			.setDeadlineMillis(ask.deadlineMillis())
+			.setExpectedWorkMillis(ask.expectedWorkMillis())
+			.addAllExcludedTargets(ask.excludedTargets().stream().map(TargetId::value).sorted().toList())
+			.setMayQueue(ask.mayQueue());
+	}
+
+	private static org.mustardlane.protocol.GrantAnswer.Builder grantAnswer(GrantAnswer answer) {
+		return org.mustardlane.protocol.GrantAnswer.newBuilder()
+			.setRequestId(answer.requestId().value())
+			.setAttempt(answer.attempt())
+			.setShard(shard(answer.shard()))
+			.setVerdict(org.mustardlane.protocol.GrantAnswer.Verdict.valueOf(answer.verdict().name()))
+			.setGrantId(answer.grantId())
+			.setTarget(answer.target().map(TargetId::value).orElse(""))
+			.setExpiryMillis(answer.expiryMillis())
+			.setRetryAfterMillis(answer.retryAfterMillis())
+			.setReason(answer.refusalCode().map(RefusalCode::name).orElse(""));
+	}
+
+	private static org.mustardlane.protocol.GrantRelease.Builder grantRelease(GrantRelease release) {
+		return org.mustardlane.protocol.GrantRelease.newBuilder()
+			.setRequestId(release.requestId().value())
+			.setAttempt(release.attempt())
+			.setShard(shard(release.shard()))
+			.setGrantId(release.grantId())
+			.setTarget(release.target().value())
+			.setCause(org.mustardlane.protocol.GrantRelease.Cause.valueOf(release.cause().name()))
+			.setFirstTokenMillis(release.timing().firstTokenMillis())
+			.setWorstTokenGapMillis(release.timing().worstTokenGapMillis())
+			.setServiceMillis(release.timing().serviceMillis());
+	}
+
+	private static org.mustardlane.protocol.GrantRenewal.Builder grantRenewal(GrantRenewal renewal) {
+		return org.mustardlane.protocol.GrantRenewal.newBuilder()
+			.setShard(shard(renewal.shard()))
+			.addAllGrants(renewal.grants().stream().map(PeerMessageEncoder::heldGrant).toList());
+	}
+
+	private static org.mustardlane.protocol.HeldGrant heldGrant(HeldGrant grant) {
+		return org.mustardlane.protocol.HeldGrant.newBuilder()
+			.setGrantId(grant.grantId())
+			.setTarget(grant.target().value())
+			.setRequestId(grant.requestId().value())
+			.setAttempt(grant.attempt())
+			.setOrganisation(grant.organisation().value())
+			.setServiceClass(grant.serviceClass().ordinal())
+			.build();
+	}
+
+	private static org.mustardlane.protocol.ShardLoad shardLoad(ShardLoad load) {
+		return org.mustardlane.protocol.ShardLoad.newBuilder()
+			.setShard(shard(load.shard()))
+			.setVersion(load.version())
+			.setGranted(load.granted())
+			.setQueued(load.queued())
+			.setOpenTargets(load.openTargets())
+			.setSlots(load.slots())
+			.build();
+	}
+
+	private static org.mustardlane.protocol.ClaimAsk.Builder claimAsk(ClaimAsk ask) {
+		return org.mustardlane.protocol.ClaimAsk.newBuilder()
+			.setRequestId(ask.requestId().value())
+			.setAttemptId(ask.attemptId())
+			.setClaimKey(ask.claimKey())
+			.setBodyDigest(ByteString.copyFrom(ask.bodyDigest()))
+			.setDeadlineMillis(ask.deadlineMillis());
+	}
+
+	private static org.mustardlane.protocol.ClaimAnswer.Builder claimAnswer(ClaimAnswer answer) {
+		org.mustardlane.protocol.ClaimAnswer.Builder builder = org.mustardlane.protocol.ClaimAnswer.newBuilder()
+			.setRequestId(answer.requestId().value())
+			.setAttemptId(answer.attemptId())
+			.setVerdict(org.mustardlane.protocol.ClaimAnswer.Verdict.valueOf(answer.verdict().name()))
+			.setOffset(answer.offset())
+			.setHolderVm(answer.holderVm().map(VmId::value).orElse(""))
+			.setHolderRequestId(answer.holderRequestId().map(RequestId::value).orElse(""))
+			.setRetryAfterMillis(answer.retryAfterMillis());
+		answer.answer()
+			.ifPresent((stored) -> builder.setAnswerStatus(stored.status())
+				.setAnswerContentType(stored.contentType())
+				.setAnswerBody(ByteString.copyFrom(stored.body())));
+		return builder;
+	}
+
+	private static org.mustardlane.protocol.ClaimCompletion.Builder claimCompletion(ClaimCompletion completion) {
+		return org.mustardlane.protocol.ClaimCompletion.newBuilder()
+			.setClaimKey(completion.claimKey())
+			.setAttemptId(completion.attemptId())
+			.setStatus(completion.answer().status())
+			.setContentType(completion.answer().contentType())
+			.setBody(ByteString.copyFrom(completion.answer().body()));
+	}
+
+	private static org.mustardlane.protocol.Gossip.Builder gossip(Gossip gossip) {
+		return org.mustardlane.protocol.Gossip.newBuilder()
+			.addAllHeartbeats(gossip.heartbeats().stream().map(PeerMessageEncoder::heartbeat).toList())
+			.setCatalogueRevision(gossip.catalogueRevision())
+			.setVmListVersion(gossip.vmListVersion())
+			.addAllShardLoads(gossip.shardLoads().stream().map(PeerMessageEncoder::shardLoad).toList());
+	}
+
+	private static org.mustardlane.protocol.VmHeartbeat heartbeat(VmHeartbeat heartbeat) {
+		return org.mustardlane.protocol.VmHeartbeat.newBuilder()
+			.setVm(heartbeat.vm().value())
+			.setDomain(heartbeat.domain().value())
+			.setIncarnation(heartbeat.incarnation())
+			.setCounter(heartbeat.counter())
+			.setDraining(heartbeat.draining())
+			.setHost(heartbeat.host())
+			.setPort(heartbeat.port())
+			.setCatalogueRevision(heartbeat.catalogueRevision())
+			.build();
+	}
+
+	private static org.mustardlane.protocol.CatalogueRelay.Builder catalogueRelay(CatalogueRelay relay) {
+		return org.mustardlane.protocol.CatalogueRelay.newBuilder()
+			.addAllRecords(relay.records().stream().map(PeerMessageEncoder::record).toList());
+	}
+
+	private static RelayedRecord record(LogRecord record) {
+		return RelayedRecord.newBuilder()
+			.setOffset(record.offset())
+			.setAppendedAtMillis(record.appendedAtMillis())
+			.setType(record.type())
+			.setBody(ByteString.copyFrom(record.body()))
+			.build();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/VmListJson.java
@@ -0,0 +1,68 @@
+package org.mustardlane.router.peer;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.VmEntry;
+import org.mustardlane.core.model.membership.VmList;
+import org.mustardlane.core.model.membership.VmState;
+
+/**
+ * Writes and reads the VM list that routers relay.
+ */
+final class VmListJson {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private VmListJson() {
+	}
+
+	/**
+	 * Writes the rows of a list.
+	 * @param list the list
+	 * @return the rows as JSON
+	 */
+	static byte[] write(VmList list) {
+		ArrayNode rows = MAPPER.createArrayNode();
+		for (VmEntry entry : list.entries()) {
+			rows.addObject()
+				.put("vm", entry.vm().value())
+				.put("domain", entry.domain().value())
+				.put("host", entry.host())
+				.put("peerPort", entry.peerPort())
+				.put("state", entry.state().name());
+		}
+		return rows.toString().getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Reads the rows of a list.
+	 * @param version version of the list
+	 * @param json the rows
+	 * @return the list
+	 * @throws MalformedFrameException if the rows are not as agreed
+	 */
+	static VmList read(long version, byte[] json) throws MalformedFrameException {
+		try {
+			List<VmEntry> entries = new ArrayList<>();
+			for (JsonNode row : MAPPER.readTree(json)) {
+				entries.add(new VmEntry(new VmId(row.path("vm").asText()), new DomainId(row.path("domain").asText()),
+						row.path("host").asText(), row.path("peerPort").asInt(),
+						VmState.valueOf(row.path("state").asText())));
+			}
+			return new VmList(version, entries);
+		}
+		catch (IOException ex) {
+			throw new MalformedFrameException("the VM list is not JSON");
+		}
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/platform/PlatformClient.java
@@ -0,0 +1,161 @@
+package org.mustardlane.router.platform;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Response;
+
+import org.mustardlane.core.event.AppendLog;
+import org.mustardlane.core.event.AppendResult;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.model.log.RecordBody;
+import org.mustardlane.core.model.log.StreamName;
+
+/**
+ * Speaks to the log and the VM list of the platform.
+ *
+ * <p>
+ * The client repeats nothing by itself. Thread-safe.
+ */
+public final class PlatformClient implements AutoCloseable {
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+	private static final int APPEND_TIMEOUT_MILLIS = 3000;
+
+	private static final int LIST_TIMEOUT_MILLIS = 3000;
+
+	private static final int READ_MARGIN_MILLIS = 3000;
+
+	private static final int READ_LIMIT = 500;
+
+	private static final int OK = 200;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private static final long NO_OFFSET = -1;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final String baseUrl;
+
+	private final AsyncHttpClient client;
+
+	/**
+	 * Creates the client.
+	 * @param baseUrl address of the platform
+	 * @param loops threads of the connections
+	 */
+	public PlatformClient(String baseUrl, EventLoopGroup loops) {
+		this.baseUrl = baseUrl.endsWith("/") ? baseUrl.substring(0, baseUrl.length() - 1) : baseUrl;
+		this.client = new DefaultAsyncHttpClient(new DefaultAsyncHttpClientConfig.Builder().setEventLoopGroup(loops)
+			.setMaxRequestRetry(0)
+			.setFollowRedirect(false)
+			.setCookieStore(null)
+			.setConnectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+			.setReadTimeout(Duration.ofMillis(-1))
+			.build());
+	}
+
+	/**
+	 * Appends records in one step.
+	 * @param append the records
+	 * @return what became of the append; never fails
+	 */
+	public CompletableFuture<LogAppendEnded> append(AppendLog append) {
+		return this.client.preparePost(recordsUrl(append.stream()))
+			.setHeader("Content-Type", "application/json")
+			.setBody(json(append).toString())
+			.setRequestTimeout(Duration.ofMillis(APPEND_TIMEOUT_MILLIS))
+			.execute()
+			.toCompletableFuture()
+			.handle((response, failure) -> (failure != null) ? ended(append, resultOf(failure), NO_OFFSET)
+					: answered(append, response));
+	}
+
+	private static ObjectNode json(AppendLog append) {
+		ObjectNode json = MAPPER.createObjectNode();
+		ArrayNode records = json.putArray("records");
+		for (RecordBody body : append.records()) {
+			records.addObject().put("type", body.type()).put("body", body.body());
+		}
+		return json;
+	}
+
+	private static AppendResult resultOf(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
+				: failure;
+		// Only a connection that was never made proves that nothing was sent.
+		return (cause instanceof ConnectException) ? AppendResult.REJECTED : AppendResult.UNKNOWN;
+	}
+
+	private static LogAppendEnded answered(AppendLog append, Response response) {
+		if (response.getStatusCode() == SERVICE_UNAVAILABLE) {
+			return ended(append, AppendResult.REJECTED, NO_OFFSET);
+		}
+		if (response.getStatusCode() != OK) {
+			return ended(append, AppendResult.UNKNOWN, NO_OFFSET);
+		}
+		try {
+			long firstOffset = MAPPER.readTree(response.getResponseBodyAsBytes()).path("firstOffset").asLong(NO_OFFSET);
+			return ended(append, AppendResult.APPENDED, firstOffset);
+		}
+		catch (IOException ex) {
+			return ended(append, AppendResult.UNKNOWN, NO_OFFSET);
+		}
+	}
+
+	private static LogAppendEnded ended(AppendLog append, AppendResult result, long firstOffset) {
+		return new LogAppendEnded(append.stream(), append.appendId(), result, firstOffset);
+	}
+
+	/**
+	 * Reads a stream.
+	 * @param stream the stream
+	 * @param fromOffset first offset that is wanted
+	 * @param waitMillis how long the platform may wait for a record
+	 * @return the raw answer
+	 */
+	CompletableFuture<Response> read(StreamName stream, long fromOffset, int waitMillis) {
+		return this.client
+			.prepareGet(
+					recordsUrl(stream) + "?from=" + fromOffset + "&limit=" + READ_LIMIT + "&waitMillis=" + waitMillis)
+			.setRequestTimeout(Duration.ofMillis(waitMillis + READ_MARGIN_MILLIS))
+			.execute()
+			.toCompletableFuture();
+	}
+
+	/**
+	 * Reads the VM list.
+	 * @param etag the tag of the list that is known, empty for none
+	 * @return the raw answer
+	 */
+	CompletableFuture<Response> readVms(String etag) {
+		var request = this.client.prepareGet(this.baseUrl + "/vms")
+			.setRequestTimeout(Duration.ofMillis(LIST_TIMEOUT_MILLIS));
+		if (!etag.isEmpty()) {
+			request.setHeader("If-None-Match", etag);
+		}
+		return request.execute().toCompletableFuture();
+	}
+
+	private String recordsUrl(StreamName stream) {
+		return this.baseUrl + "/streams/" + stream + "/records";
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP towards engines and plain services.
+ */
+@NullMarked
+package org.mustardlane.router.target;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/worker/RouterClock.java
@@ -0,0 +1,41 @@
+package org.mustardlane.router.worker;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+
+/**
+ * Wall-clock time that never goes back within the process.
+ *
+ * <p>
+ * Thread-safe.
+ */
+public final class RouterClock {
+
+	private final LongSupplier wallClockMillis;
+
+	private final AtomicLong latestMillis = new AtomicLong();
+
+	/**
+	 * Creates a clock that follows the system clock.
+	 */
+	public RouterClock() {
+		this(System::currentTimeMillis);
+	}
+
+	/**
+	 * Creates a clock.
+	 * @param wallClockMillis the clock to follow, which may step back
+	 */
+	public RouterClock(LongSupplier wallClockMillis) {
+		this.wallClockMillis = wallClockMillis;
+	}
+
+	/**
+	 * Returns the time.
+	 * @return milliseconds since 1970
+	 */
+	public long nowMillis() {
+		return this.latestMillis.accumulateAndGet(this.wallClockMillis.getAsLong(), Math::max);
+	}
+
+}
