--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -9,8 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -68,8 +67,7 @@
 
 	private final long startedAtMillis = this.clock.nowMillis();
 
-	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(IO_THREADS,
-			new DefaultThreadFactory("io", true), NioIoHandler.newFactory());
+	private final EventLoopGroup loops = ioThreads();
 
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(new DefaultThreadFactory("timer", true));
@@ -107,6 +105,12 @@
 				(holder, requestId, reader) -> running().links().join(holder, requestId, reader), HELD_ANSWER_BYTES);
 	}
 
+	// AsyncHttpClient accepts no newer kind of group.
+	@SuppressWarnings("deprecation")
+	private static EventLoopGroup ioThreads() {
+		return new NioEventLoopGroup(IO_THREADS, new DefaultThreadFactory("io", true));
+	}
+
 	/**
 	 * Starts to listen, to read the platform and to tick.
 	 * @return the ports that are listened on
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageDecoder.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageDecoder.java
@@ -163,7 +163,7 @@
 	private static VmHeartbeat heartbeat(org.mustardlane.protocol.VmHeartbeat heartbeat) {
 		return new VmHeartbeat(new VmId(heartbeat.getVm()), new DomainId(heartbeat.getDomain()),
 				heartbeat.getIncarnation(), heartbeat.getCounter(), heartbeat.getDraining(), heartbeat.getHost(),
-				heartbeat.getPort(), heartbeat.getCatalogueRevision());
+				heartbeat.getPort(), heartbeat.getCatalogueRevision(), heartbeat.getSilenceMillis());
 	}
 
 	private static CatalogueRelay catalogueRelay(org.mustardlane.protocol.CatalogueRelay relay) {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageEncoder.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageEncoder.java
@@ -223,6 +223,7 @@
 			.setHost(heartbeat.host())
 			.setPort(heartbeat.port())
 			.setCatalogueRevision(heartbeat.catalogueRevision())
+			.setSilenceMillis(heartbeat.silenceMillis())
 			.build();
 	}
 
