--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/timeline/TimelineMerge.java
@@ -0,0 +1,36 @@
+package org.mustardlane.core.timeline;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import org.mustardlane.core.model.timeline.TimelineEvent;
+
+/**
+ * Merges the events of several processes into one time line.
+ *
+ * <p>
+ * Thread-safe: all methods are pure functions.
+ */
+public final class TimelineMerge {
+
+	private static final Comparator<TimelineEvent> CAUSAL = (one, other) -> Long.compareUnsigned(one.hybridTime(),
+			other.hybridTime());
+
+	private TimelineMerge() {
+	}
+
+	/**
+	 * Merges events by hybrid time, then by VM; an event that was read twice stands once.
+	 * @param sources the events of each process
+	 * @return the events in causal order
+	 */
+	public static List<TimelineEvent> merge(Collection<List<TimelineEvent>> sources) {
+		return sources.stream()
+			.flatMap(List::stream)
+			.distinct()
+			.sorted(CAUSAL.thenComparing(TimelineEvent::vm))
+			.toList();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/timeline/TimelineText.java
@@ -0,0 +1,60 @@
+package org.mustardlane.core.timeline;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+
+import org.mustardlane.core.model.timeline.TimelineEvent;
+
+/**
+ * Writes a time line as text, one event a line.
+ *
+ * <p>
+ * Thread-safe: all methods are pure functions.
+ */
+public final class TimelineText {
+
+	private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
+
+	private TimelineText() {
+	}
+
+	/**
+	 * Writes a time line.
+	 * @param events the events, in causal order
+	 * @return the text, with a line break after each event
+	 */
+	public static String write(List<TimelineEvent> events) {
+		int vmWidth = events.stream().mapToInt((event) -> event.vm().length()).max().orElse(1);
+		int domainWidth = events.stream().mapToInt((event) -> event.domain().length()).max().orElse(1);
+		StringBuilder text = new StringBuilder();
+		for (TimelineEvent event : events) {
+			text.append(time(event)).append("  ").append(padded(event.vm(), vmWidth)).append("  ");
+			text.append(padded(event.domain(), domainWidth)).append("  ").append(clean(event.kind())).append("  ");
+			text.append(clean(event.subject())).append("  ").append(clean(event.detail()));
+			text.append('\n');
+		}
+		return text.toString();
+	}
+
+	/**
+	 * Writes the time of an event: the time of day in UTC and the counter of the hybrid
+	 * clock.
+	 * @param event the event
+	 * @return the time, such as 09:30:00.125+0001
+	 */
+	static String time(TimelineEvent event) {
+		Instant instant = Instant.ofEpochMilli(HybridClock.millisOf(event.hybridTime()));
+		return TIME.format(instant) + "+%04x".formatted(HybridClock.counterOf(event.hybridTime()));
+	}
+
+	private static String padded(String text, int width) {
+		return clean(text) + " ".repeat(Math.max(0, width - text.length()));
+	}
+
+	private static String clean(String text) {
+		return text.replaceAll("\\p{Cntrl}", " ");
+	}
+
+}
