--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
@@ -97,7 +97,7 @@
 	 */
 	public String summary() {
 		return "status %d, outcome %s, %d bytes%s%s".formatted(this.status, header("x-outcome").orElse("none"),
-				this.body.length, isAnswered() ? "" : ", body " + text(),
+				this.body.length, (isAnswered() || this.status == OK) ? "" : ", body " + text(),
 				this.error.map((text) -> ", ended by " + text).orElse(""));
 	}
 
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -281,10 +281,10 @@
 	}
 
 	/**
-	 * Returns how many bytes have passed between the failure domains.
+	 * Returns how many bytes have passed between routers.
 	 * @return the number
 	 */
-	public long bytesBetweenDomains() {
+	public long bytesBetweenRouters() {
 		return this.vmRows.passedBytes();
 	}
 
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/VmRows.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/VmRows.java
@@ -9,7 +9,7 @@
 import java.util.TreeSet;
 
 /**
- * The links between failure domains, and the list of VMs as each domain sees it.
+ * The links between routers, and the list of VMs as each domain sees it.
  */
 final class VmRows {
 
@@ -24,20 +24,18 @@
 	}
 
 	/**
-	 * Makes links to a router from every other failure domain.
+	 * Makes links to a router from every failure domain.
 	 * @param router the router
 	 */
 	void link(RouterHandle router) {
 		for (String domain : this.domains) {
-			if (!domain.equals(router.domain())) {
-				String key = domain + ">" + router.vm();
-				Forwarder old = this.links.put(key, new Forwarder(router.peerPort()));
-				if (old != null) {
-					old.close();
-				}
-				if (isCut(domain, router.domain())) {
-					this.links.get(key).set(LinkState.SILENT);
-				}
+			String key = domain + ">" + router.vm();
+			Forwarder old = this.links.put(key, new Forwarder(router.peerPort()));
+			if (old != null) {
+				old.close();
+			}
+			if (isCut(domain, router.domain())) {
+				this.links.get(key).set(LinkState.SILENT);
 			}
 		}
 	}
@@ -78,8 +76,7 @@
 			Set<String> leaving) {
 		List<Map<String, Object>> rows = new ArrayList<>();
 		for (RouterHandle router : routers) {
-			Forwarder link = this.links.get(domain + ">" + router.vm());
-			int port = (link != null) ? link.port() : router.peerPort();
+			int port = this.links.get(domain + ">" + router.vm()).port();
 			rows.add(row(router.vm(), router.domain(), port, leaving));
 		}
 		for (TargetHandle target : targets) {
@@ -89,7 +86,7 @@
 	}
 
 	/**
-	 * Returns how many bytes have passed between the failure domains.
+	 * Returns how many bytes have passed between routers.
 	 * @return the number
 	 */
 	long passedBytes() {
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/ControlTrafficExperiment.java
@@ -0,0 +1,36 @@
+package org.mustardlane.proof.measure;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.mustardlane.proof.fleet.FleetException;
+import org.mustardlane.proof.fleet.Waiting;
+
+/**
+ * Measures what routers of different failure domains tell each other without any request.
+ */
+final class ControlTrafficExperiment implements Experiment {
+
+	static final String IDLE_BYTES = "bytes a second and router between routers, idle";
+
+	private static final long DURATION_MILLIS = 10_000;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	@Override
+	public String name() {
+		return "control traffic";
+	}
+
+	@Override
+	public Map<String, Double> run(Bench bench) throws FleetException {
+		long before = bench.fleet().bytesBetweenRouters();
+		Waiting.pause(DURATION_MILLIS);
+		double bytes = bench.fleet().bytesBetweenRouters() - before;
+		int routers = bench.fleet().liveRouters().size();
+		Map<String, Double> figures = new LinkedHashMap<>();
+		figures.put(IDLE_BYTES, bytes * MILLIS_PER_SECOND / DURATION_MILLIS / routers);
+		return figures;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/MeasureMain.java
@@ -0,0 +1,72 @@
+package org.mustardlane.proof.measure;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.mustardlane.proof.fleet.FleetException;
+
+/**
+ * Measures real routers before stand-in engines and prints one table.
+ */
+public final class MeasureMain {
+
+	private static final int USAGE_ERROR = 2;
+
+	private static final int MISSED = 1;
+
+	private MeasureMain() {
+	}
+
+	/**
+	 * Runs the measurement.
+	 * @param args --seed N, --check, --naive direct|router, --routers N, --rows a,b,
+	 * --directory D
+	 */
+	public static void main(String[] args) {
+		System.exit(run(args));
+	}
+
+	private static int run(String[] args) {
+		try {
+			MeasureSettings settings = settings(args);
+			List<ReportRow> rows = new MeasureRun(settings, System.err).run();
+			ReportWriter writer = new ReportWriter(rows, "mustardlane, seed " + settings.seed());
+			System.out.print(writer.table());
+			writer.write(settings.directory());
+			System.out.println("CSV and plots are in " + settings.directory().toAbsolutePath());
+			return (settings.isChecked() && rows.stream().anyMatch(ReportRow::isMissed)) ? MISSED : 0;
+		}
+		catch (ParseException | NumberFormatException ex) {
+			System.err.println("measure: " + ex.getMessage());
+			return USAGE_ERROR;
+		}
+		catch (FleetException | IOException ex) {
+			System.err.println("measure: " + ex.getMessage());
+			return MISSED;
+		}
+	}
+
+	private static MeasureSettings settings(String[] args) throws ParseException {
+		Options options = new Options();
+		options.addOption(Option.builder().longOpt("check").get());
+		for (String name : List.of("seed", "naive", "routers", "rows", "directory")) {
+			options.addOption(Option.builder().longOpt(name).hasArg().get());
+		}
+		CommandLine line = new DefaultParser().parse(options, args);
+		long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+		String rows = line.getOptionValue("rows", "");
+		return new MeasureSettings(seed, line.hasOption("check"),
+				line.getOptionValue("naive", "direct").equals("direct"),
+				Integer.parseInt(line.getOptionValue("routers", "15")),
+				rows.isEmpty() ? List.of() : List.of(rows.split(",")),
+				Path.of(line.getOptionValue("directory", "out/measure-" + seed)));
+	}
+
+}
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/Stats.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/Stats.java
@@ -40,6 +40,21 @@
 		return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
 	}
 
+	/**
+	 * Returns a percentile of the whole time over calls, whatever became of them.
+	 * @param samples the calls
+	 * @param percentile the percentile
+	 * @return the percentile in milliseconds, not a number where there is no call
+	 */
+	static double percentileOfAllMillis(Collection<CallSample> samples, double percentile) {
+		if (samples.isEmpty()) {
+			return Double.NaN;
+		}
+		Histogram histogram = new Histogram(HISTOGRAM_DIGITS);
+		samples.forEach((sample) -> histogram.recordValue(sample.result().totalMicros()));
+		return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+	}
+
 	/**
 	 * Returns the samples of a group.
 	 * @param samples the calls
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/quickstart/QuickstartMain.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/quickstart/QuickstartMain.java
@@ -29,6 +29,8 @@
 
 	private static final int KILL_AFTER_BYTES = 400;
 
+	private static final int RETRIES = 8;
+
 	private static final int SHOWN_EVENTS = 40;
 
 	private final Fleet fleet;
@@ -113,12 +115,23 @@
 		CallResult retriedChat = Waiting.get("chat", this.caller.call(router("vm-2").url(), chat));
 		this.out.println("The chat again on vm-2: "
 				+ AnswerChecker.check(chat.body(), LONG_CHAT_TOKENS, retriedChat.body()) + ", " + retriedChat.status());
-		CallResult retried = Waiting.get("release", this.caller.call(router("vm-2").url(), release));
-		this.out.println("Lot 2 again with the same key on vm-2: " + retried.summary() + " " + retried.text());
+		retryUntilRun(release);
 		this.fleet.targets().allFaults(TargetKind.SERVICE, "{}");
 		return showExecutions("lot-2") == 1 && retriedChat.isAnswered();
 	}
 
+	private void retryUntilRun(CallRequest release) throws FleetException {
+		for (int attempt = 1; attempt <= RETRIES; attempt++) {
+			CallResult retried = Waiting.get("release", this.caller.call(router("vm-2").url(), release));
+			this.out.printf("Lot 2 again with the same key on vm-2: %s %s%n", retried.summary(),
+					retried.isAnswered() ? retried.text() : "");
+			if (!retried.isNotRun()) {
+				return;
+			}
+			Waiting.pause(retried.header("x-retry-after-millis").map(Long::parseLong).orElse(0L));
+		}
+	}
+
 	private void showBroken(CallRequest chat, CallResult broken) {
 		this.out.printf("The caller of the chat got %d bytes, then: %s (%s of its answer)%n", broken.body().length,
 				broken.error().orElse("a regular end"),
