--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/random/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Runs with random faults.
+ */
+@NullMarked
+package org.mustardlane.proof.random;
+
+import org.jspecify.annotations.NullMarked;
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/World.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/World.java
@@ -42,6 +42,14 @@
 		return this.fleet.orElseThrow();
 	}
 
+	Caller caller() {
+		return this.caller;
+	}
+
+	void add(RecordedCall call) {
+		this.calls.put(call.name(), call);
+	}
+
 	void call(String name, String vm, CallRequest request, int tokens) {
 		String url = fleet().router(vm).url();
 		this.calls.put(name, RecordedCall.begin(name, this.caller, url, request, tokens));
