--- /dev/null
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/caller/OutcomeCheckerTests.java
@@ -0,0 +1,79 @@
+package org.mustardlane.proof.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.testng.annotations.Test;
+
+import org.mustardlane.standin.target.JournalRow;
+
+import static org.testng.Assert.assertEquals;
+
+/**
+ * Tests of {@link OutcomeChecker}.
+ */
+public class OutcomeCheckerTests {
+
+	private static final CallRequest RELEASE = CallRequest.ofTokens("release", 0, "lot").withKey("lot-1");
+
+	private static final CallRequest CHAT = CallRequest.ofTokens("chat", 9, "chat");
+
+	private static final Map<String, String> NOT_RUN = Map.of("x-outcome", "not-run", "retry-after", "1");
+
+	@Test
+	public void findsAKeyThatRanTwice() {
+		assertEquals(violations(List.of(), List.of(row(RELEASE, 1), row(RELEASE, 2))), 1);
+		assertEquals(violations(List.of(), List.of(row(RELEASE, 1))), 0);
+	}
+
+	@Test
+	public void findsARefusalOfARequestThatWasStarted() {
+		RecordedCall refused = call(RELEASE, 503, NOT_RUN, "");
+		assertEquals(violations(List.of(refused), List.of(row(RELEASE, 1))), 1);
+		assertEquals(violations(List.of(refused), List.of()), 0);
+	}
+
+	@Test
+	public void findsARefusalWithoutRetryAfter() {
+		RecordedCall refused = call(RELEASE, 503, Map.of("x-outcome", "not-run"), "");
+		assertEquals(violations(List.of(refused), List.of()), 1);
+	}
+
+	@Test
+	public void findsAShortAnswerThatLooksRegular() {
+		RecordedCall answered = call(CHAT, 200, Map.of("x-outcome", "answered"), "0123456789abcdef ");
+		assertEquals(violations(List.of(answered), List.of(row(CHAT, 1))), 1);
+	}
+
+	@Test
+	public void findsTheAnswerToAnotherCall() {
+		RecordedCall answered = call(RELEASE, 200, Map.of("x-outcome", "answered"), "{\"key\":\"lot-2\"}");
+		assertEquals(violations(List.of(answered), List.of(row(RELEASE, 1))), 1);
+	}
+
+	@Test
+	public void findsAResponseWithoutOutcome() {
+		assertEquals(violations(List.of(call(RELEASE, 500, Map.of(), "")), List.of()), 1);
+	}
+
+	private static int violations(List<RecordedCall> calls, List<JournalRow> journal) {
+		return OutcomeChecker.check(calls, journal).size();
+	}
+
+	private static RecordedCall call(CallRequest request, int status, Map<String, String> headers, String body) {
+		CallResult result = new CallResult(status, headers, body.getBytes(StandardCharsets.UTF_8), Optional.empty(), 0,
+				0, 0);
+		return new RecordedCall("a call", request, 9, new AtomicInteger(), CompletableFuture.completedFuture(result));
+	}
+
+	private static JournalRow row(CallRequest request, long number) {
+		String digest = new RecordedCall("", request, 0, new AtomicInteger(), new CompletableFuture<>()).bodyDigest();
+		return new JournalRow(number, "r/1", request.idempotencyKey().orElse(""), "", "", "", "/v1/" + request.entry(),
+				digest, 0, 1, false, 0, 1, 1, "WHOLE");
+	}
+
+}
