--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -23,6 +23,8 @@
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.node.Node;
 import org.mustardlane.core.node.NodeSettings;
+import org.mustardlane.core.timeline.HybridClock;
+import org.mustardlane.core.timeline.TimelineBuffer;
 import org.mustardlane.router.caller.CallerLimits;
 import org.mustardlane.router.caller.CallerServer;
 import org.mustardlane.router.caller.RequestIds;
@@ -31,7 +33,6 @@
 import org.mustardlane.router.metrics.RouterMetrics;
 import org.mustardlane.router.operator.OperatorService;
 import org.mustardlane.router.operator.PendingPublishes;
-import org.mustardlane.router.operator.TimelineStore;
 import org.mustardlane.router.peer.GrpcServer;
 import org.mustardlane.router.peer.PeerAddress;
 import org.mustardlane.router.peer.PeerLinks;
@@ -57,6 +58,8 @@
 
 	private static final int HELD_ANSWER_BYTES = 262_144;
 
+	private static final int TIMELINE_EVENTS = 20_000;
+
 	private static final int IO_THREADS = 2;
 
 	private static final int GRACE_MILLIS = 500;
@@ -74,7 +77,9 @@
 
 	private final RouterMetrics metrics = new RouterMetrics();
 
-	private final TimelineStore timeline = new TimelineStore();
+	private final HybridClock hybridClock = new HybridClock();
+
+	private final TimelineBuffer timeline;
 
 	private final ActionTable actions = new ActionTable();
 
@@ -98,7 +103,8 @@
 	 */
 	public Router(RouterSettings settings) {
 		this.settings = settings;
-		this.stamp = new PeerStamp(settings.vm(), this.clock);
+		this.stamp = new PeerStamp(settings.vm(), this.hybridClock, this.clock);
+		this.timeline = new TimelineBuffer(this.hybridClock, settings.vm(), settings.domain(), TIMELINE_EVENTS);
 		this.platform = new PlatformClient(settings.platformUrl(), this.loops);
 		this.targets = new TargetClient(this.loops, this.clock);
 		this.requests = new RequestActions(settings.vm(), this.targets,
@@ -148,7 +154,7 @@
 		publishes.register(this.actions);
 		TargetPoller poller = new TargetPoller(this.targets, workers);
 		this.actions.on(PollTarget.class, poller::poll)
-			.on(RecordEvent.class, (record) -> this.timeline.add(record.event()))
+			.on(RecordEvent.class, (record) -> this.timeline.record(record.event(), this.clock.nowMillis()))
 			.on(DrainFinished.class, (finished) -> this.drained.countDown());
 	}
 
--- a/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorAnswers.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorAnswers.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import org.mustardlane.core.catalogue.HistoryRow;
 import org.mustardlane.core.message.ShardLoad;
 import org.mustardlane.core.model.catalogue.Finding;
 import org.mustardlane.core.model.catalogue.PublishResult;
@@ -13,6 +14,7 @@
 import org.mustardlane.core.model.membership.VmHeartbeat;
 import org.mustardlane.core.model.timeline.TimelineEvent;
 import org.mustardlane.core.node.NodeStatus;
+import org.mustardlane.protocol.CatalogueHistoryRow;
 import org.mustardlane.protocol.PeerStatus;
 import org.mustardlane.protocol.PublishAnswer;
 import org.mustardlane.protocol.PublishFinding;
@@ -89,6 +91,19 @@
 			.build();
 	}
 
+	static CatalogueHistoryRow history(HistoryRow row) {
+		String verdict = (row.winnerRevision() > 0) ? row.verdict() + " to " + row.winnerRevision()
+				: row.verdict().name();
+		return CatalogueHistoryRow.newBuilder()
+			.setRevision(row.revision())
+			.setChangeId(row.changeId())
+			.setAuthor(row.author())
+			.setAppendedAtMillis(row.appendedAtMillis())
+			.setVerdict(verdict)
+			.setSummary(row.summary())
+			.build();
+	}
+
 	static PublishAnswer publish(PublishResult result) {
 		return PublishAnswer.newBuilder()
 			.setVerdict(PublishAnswer.Verdict.valueOf(result.verdict().name()))
--- a/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorService.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorService.java
@@ -1,5 +1,6 @@
 package org.mustardlane.router.operator;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -12,6 +13,7 @@
 import org.mustardlane.core.model.catalogue.CatalogueChange;
 import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.node.Node;
+import org.mustardlane.core.timeline.TimelineBuffer;
 import org.mustardlane.protocol.DrainAnswer;
 import org.mustardlane.protocol.DrainRequest;
 import org.mustardlane.protocol.OperatorServiceGrpc;
@@ -32,11 +34,13 @@
 
 	private static final long MOST_PUBLISH_MILLIS = 60_000;
 
+	private static final long SETTLE_MARGIN_MILLIS = 1000;
+
 	private final Node node;
 
 	private final RouterClock clock;
 
-	private final TimelineStore timeline;
+	private final TimelineBuffer timeline;
 
 	private final PendingPublishes publishes;
 
@@ -53,7 +57,7 @@
 	 * @param drain starts a drain until a deadline, 0 for the one of the settings
 	 * @param version version of the program
 	 */
-	public OperatorService(Node node, RouterClock clock, TimelineStore timeline, PendingPublishes publishes,
+	public OperatorService(Node node, RouterClock clock, TimelineBuffer timeline, PendingPublishes publishes,
 			LongConsumer drain, String version) {
 		this.node = node;
 		this.clock = clock;
@@ -79,7 +83,10 @@
 
 	@Override
 	public void timeline(TimelineRequest request, StreamObserver<TimelineEntry> observer) {
-		this.timeline.read(request.getAfterHybridTime(), request.getRequestId())
+		String subject = request.getRequestId();
+		this.timeline.after(request.getAfterHybridTime())
+			.stream()
+			.filter((event) -> subject.isEmpty() || event.subject().equals(subject))
 			.forEach((event) -> observer.onNext(OperatorAnswers.timeline(event)));
 		observer.onCompleted();
 	}
@@ -98,7 +105,7 @@
 				request.getChangeYaml());
 		CompletableFuture<PublishResult> result = this.publishes.publish(new PublishRequested(change, deadlineMillis));
 		result.copy()
-			.orTimeout(Math.max(1, deadlineMillis - nowMillis) + 1000, TimeUnit.MILLISECONDS)
+			.orTimeout(Math.max(1, deadlineMillis - nowMillis) + SETTLE_MARGIN_MILLIS, TimeUnit.MILLISECONDS)
 			.handle((ended, failure) -> (failure != null) ? unknown(failure) : OperatorAnswers.publish(ended))
 			.thenAccept((answer) -> {
 				observer.onNext(answer);
@@ -114,7 +121,18 @@
 
 	@Override
 	public void showCatalogue(ShowCatalogueRequest request, StreamObserver<ShowCatalogueAnswer> observer) {
-		observer.onNext(ShowCatalogueAnswer.newBuilder().setRevision(this.node.catalogue().revision()).build());
+		long revision = (request.getAtRevision() > 0) ? request.getAtRevision() : this.node.catalogue().revision();
+		ShowCatalogueAnswer.Builder answer = ShowCatalogueAnswer.newBuilder().setRevision(revision);
+		if (request.getHistory()) {
+			this.node.catalogueHistory().forEach((row) -> answer.addHistory(OperatorAnswers.history(row)));
+		}
+		Optional<String> yaml = this.node.catalogueYaml(request.getAtRevision());
+		if (yaml.isEmpty()) {
+			observer.onError(
+					Status.NOT_FOUND.withDescription("revision " + revision + " is not kept").asRuntimeException());
+			return;
+		}
+		observer.onNext(answer.setYaml(yaml.get()).build());
 		observer.onCompleted();
 	}
 
