--- /dev/null
+++ b/mustardlane-cli/src/test/java/org/mustardlane/cli/FakeRouter.java
@@ -0,0 +1,110 @@
+package org.mustardlane.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.grpc.Server;
+import io.grpc.Status;
+import io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+
+import org.mustardlane.protocol.DrainAnswer;
+import org.mustardlane.protocol.DrainRequest;
+import org.mustardlane.protocol.OperatorServiceGrpc;
+import org.mustardlane.protocol.PublishAnswer;
+import org.mustardlane.protocol.PublishRequest;
+import org.mustardlane.protocol.ShowCatalogueAnswer;
+import org.mustardlane.protocol.ShowCatalogueRequest;
+import org.mustardlane.protocol.StatusAnswer;
+import org.mustardlane.protocol.StatusRequest;
+import org.mustardlane.protocol.TimelineEntry;
+import org.mustardlane.protocol.TimelineRequest;
+
+/**
+ * A router of which only the operator port exists.
+ */
+final class FakeRouter extends OperatorServiceGrpc.OperatorServiceImplBase implements AutoCloseable {
+
+	final List<PublishRequest> published = new ArrayList<>();
+
+	final AtomicInteger statusCalls = new AtomicInteger();
+
+	volatile PublishAnswer publishAnswer = PublishAnswer.getDefaultInstance();
+
+	volatile StatusAnswer status = StatusAnswer.getDefaultInstance();
+
+	volatile StatusAnswer laterStatus = this.status;
+
+	volatile boolean failing;
+
+	private final Server server;
+
+	private final String vm;
+
+	FakeRouter(String vm) throws IOException {
+		this.vm = vm;
+		this.server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0)).addService(this).build();
+		this.server.start();
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.server.getPort();
+	}
+
+	@Override
+	public void close() {
+		this.server.shutdownNow();
+	}
+
+	private <T> void answer(StreamObserver<T> observer, T answer) {
+		if (this.failing) {
+			observer.onError(Status.INTERNAL.withDescription("broken").asRuntimeException());
+			return;
+		}
+		observer.onNext(answer);
+		observer.onCompleted();
+	}
+
+	@Override
+	public void status(StatusRequest request, StreamObserver<StatusAnswer> observer) {
+		answer(observer, (this.statusCalls.incrementAndGet() > 2) ? this.laterStatus : this.status);
+	}
+
+	@Override
+	public void drain(DrainRequest request, StreamObserver<DrainAnswer> observer) {
+		answer(observer,
+				DrainAnswer.newBuilder().setRequestsInFlight((request.getDeadlineMillis() > 0) ? 4 : 3).build());
+	}
+
+	@Override
+	public void timeline(TimelineRequest request, StreamObserver<TimelineEntry> observer) {
+		answer(observer,
+				TimelineEntry.newBuilder()
+					.setHybridTime(65_536 * this.vm.length())
+					.setVm(this.vm)
+					.setKind("seen")
+					.build());
+	}
+
+	@Override
+	public void publishCatalogue(PublishRequest request, StreamObserver<PublishAnswer> observer) {
+		this.published.add(request);
+		answer(observer, this.publishAnswer);
+	}
+
+	@Override
+	public void showCatalogue(ShowCatalogueRequest request, StreamObserver<ShowCatalogueAnswer> observer) {
+		String bound = (request.getAtRevision() == 3) ? "110" : "120";
+		String yaml = "entries:\n  - name: 'e'\n    base: 1\n    loadBoundPercent: " + bound + "\n";
+		ShowCatalogueAnswer.Builder shown = ShowCatalogueAnswer.newBuilder().setRevision(4).setYaml(yaml);
+		if (request.getAtRevision() == 3) {
+			shown.setRevision(3);
+		}
+		shown.addHistoryBuilder().setRevision(3).setAuthor("ann").setVerdict("ACCEPTED").setSummary("1 set");
+		answer(observer, shown.build());
+	}
+
+}
