--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -13,6 +13,7 @@
 import org.mustardlane.core.admission.AdmissionHandler;
 import org.mustardlane.core.admission.AdmissionSettings;
 import org.mustardlane.core.catalogue.CatalogueHandler;
+import org.mustardlane.core.catalogue.HistoryRow;
 import org.mustardlane.core.claim.ClaimHandler;
 import org.mustardlane.core.event.DrainRequested;
 import org.mustardlane.core.event.EventHandler;
@@ -134,6 +135,23 @@
 		return this.catalogue.snapshot();
 	}
 
+	/**
+	 * Returns the newest catalogue changes that were read from the log.
+	 * @return the changes, oldest first
+	 */
+	public List<HistoryRow> catalogueHistory() {
+		return this.catalogue.history();
+	}
+
+	/**
+	 * Returns a catalogue as YAML, in the form of a change against itself.
+	 * @param revision the revision, 0 for the newest
+	 * @return the YAML, or empty where the revision is not among the newest ones
+	 */
+	public Optional<String> catalogueYaml(long revision) {
+		return this.catalogue.toYaml(revision);
+	}
+
 	/**
 	 * Returns what the newest sign of life of another router says.
 	 * @param vm the other router
