--- a/mustardlane-core/src/test/java/org/mustardlane/core/admission/AdmissionFixture.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/AdmissionFixture.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.mustardlane.core.chat.ShardRoute;
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
@@ -52,6 +53,11 @@
 
 	static final OrganisationId ORGANISATION = new OrganisationId("org-0");
 
+	/**
+	 * Number of organisations; the last two have a concurrency limit of 5.
+	 */
+	static final int ORGANISATIONS = 10;
+
 	private static final long CHAT_MIX = 0x9E3779B97F4A7C15L;
 
 	private final AdmissionHandler handler;
@@ -90,9 +96,9 @@
 					new Target(target(i), POOL, TargetKind.ENGINE, domain, "127.0.0.1", 9000 + i, slots, false));
 		}
 		Map<OrganisationId, Organisation> organisations = new HashMap<>();
-		for (int i = 0; i < 10; i++) {
+		for (int i = 0; i < ORGANISATIONS; i++) {
 			OrganisationId id = new OrganisationId("org-" + i);
-			organisations.put(id, new Organisation(id, "", 1000, 1));
+			organisations.put(id, new Organisation(id, "", (i < 8) ? 1000 : 5, 1));
 		}
 		return new CatalogueSnapshot(1, Map.of(), organisations, all);
 	}
@@ -148,6 +154,15 @@
 				workMillis, Set.of(), true);
 	}
 
+	/**
+	 * Returns the ask with the home shard of its chat.
+	 */
+	GrantAsk atHome(CatalogueSnapshot catalogue, GrantAsk ask) {
+		ShardId home = ShardRoute.route(catalogue, POOL, ask.chatHash()).get(0);
+		return new GrantAsk(ask.requestId(), ask.attempt(), home, ask.entry(), ask.organisation(), ask.serviceClass(),
+				ask.chatHash(), ask.deadlineMillis(), ask.expectedWorkMillis(), ask.excludedTargets(), ask.mayQueue());
+	}
+
 	GrantAsk newAsk(long chat) {
 		return newAsk(ServiceClass.INTERACTIVE, ORGANISATION.value(), chat, 100, 10_000);
 	}
