--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/LoadPublisher.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/LoadPublisher.java
@@ -24,7 +24,7 @@
 
 	private static final int MILLIS_PER_SECOND = 1000;
 
-	private static final int NOTABLE_DIVISOR = 16;
+	private static final int NOTABLE_DIVISOR = 8;
 
 	private final AdmissionSettings settings;
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
@@ -3,28 +3,21 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.function.ToLongFunction;
 
 /**
  * Compares the targets of a shard, eases out the slow and the failing ones and lets them
  * back in.
  *
  * <p>
- * A target is slow where its median first token or gap is several times the reference:
- * the median of the shard, or what that was before where it has risen fast. At most half
- * of the targets are out for slowness. Where all fail, all are tried. Not thread-safe.
+ * A target is slow where its median first token or gap is far above what is usual in the
+ * shard, or where it is silent. At most half of the targets are out for slowness. Where
+ * all fail, all are tried. Not thread-safe.
  */
 public final class HealthReview {
 
-	private static final int SLOW_FACTOR = 3;
+	private final UsualTime firstToken = new UsualTime(TargetHealth::firstTokens);
 
-	private static final int SLACK_MILLIS = 20;
-
-	private static final double REFERENCE_GROWTH = 1.02;
-
-	private double referenceFirstTokenMillis;
-
-	private double referenceGapMillis;
+	private final UsualTime tokenGap = new UsualTime(TargetHealth::tokenGaps);
 
 	/**
 	 * Reviews the targets; to be called at a steady pace.
@@ -37,30 +30,13 @@
 			targets.forEach(TargetHealth::restore);
 		}
 		else {
-			learnReferences(targets);
+			this.firstToken.learn(targets);
+			this.tokenGap.learn(targets);
 			ease(targets);
 		}
 		return targets.stream().filter(TargetHealth::isOpen).count() != openBefore;
 	}
 
-	private void learnReferences(Collection<TargetHealth> targets) {
-		List<TargetHealth> sampled = targets.stream().filter(TargetHealth::hasSamples).toList();
-		if (!sampled.isEmpty()) {
-			this.referenceFirstTokenMillis = follow(this.referenceFirstTokenMillis,
-					median(sampled, TargetHealth::firstTokenMillis));
-			this.referenceGapMillis = follow(this.referenceGapMillis, median(sampled, TargetHealth::tokenGapMillis));
-		}
-	}
-
-	private static double follow(double reference, long median) {
-		return (reference == 0) ? median : Math.min(median, reference * REFERENCE_GROWTH + 1);
-	}
-
-	private static long median(List<TargetHealth> targets, ToLongFunction<TargetHealth> quantity) {
-		long[] sorted = targets.stream().mapToLong(quantity).sorted().toArray();
-		return sorted[(sorted.length - 1) / 2];
-	}
-
 	private void ease(Collection<TargetHealth> targets) {
 		List<TargetHealth> slowestFirst = targets.stream()
 			.filter((target) -> !target.isFailing())
@@ -87,12 +63,7 @@
 		if (target.isSilent()) {
 			return Double.MAX_VALUE;
 		}
-		return Math.max(excess(target.firstTokenMillis(), this.referenceFirstTokenMillis),
-				excess(target.tokenGapMillis(), this.referenceGapMillis));
-	}
-
-	private static double excess(long millis, double referenceMillis) {
-		return millis / (SLOW_FACTOR * referenceMillis + SLACK_MILLIS);
+		return Math.max(this.firstToken.excess(target), this.tokenGap.excess(target));
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/SampleWindow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/SampleWindow.java
@@ -1,6 +1,7 @@
 package org.mustardlane.core.target;
 
 import java.util.Arrays;
+import java.util.stream.LongStream;
 
 /**
  * The newest samples of a quantity and their median.
@@ -10,7 +11,7 @@
  */
 final class SampleWindow {
 
-	private static final int SIZE = 5;
+	private static final int SIZE = 8;
 
 	private final long[] samples = new long[SIZE];
 
@@ -33,6 +34,10 @@
 		return this.count;
 	}
 
+	LongStream samples() {
+		return Arrays.stream(this.samples, 0, this.count);
+	}
+
 	long median() {
 		long[] sorted = Arrays.copyOf(this.samples, this.count);
 		Arrays.sort(sorted);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
@@ -102,12 +102,12 @@
 		return this.firstTokens.count() >= (isOpen() ? ENOUGH_SAMPLES : ENOUGH_PROBES);
 	}
 
-	long firstTokenMillis() {
-		return this.firstTokens.median();
+	SampleWindow firstTokens() {
+		return this.firstTokens;
 	}
 
-	long tokenGapMillis() {
-		return this.tokenGaps.median();
+	SampleWindow tokenGaps() {
+		return this.tokenGaps;
 	}
 
 	/**
