Learn the spread of service times, wait at home only where that is short

Cause: at the crest 6% of what was served came late, as the latest start went by the mean service time; a held-back shard with waiting bulk work got no short work although it had room; p95 of the first token doubled by waits at home. Change: latest start by mean and twice the mean deviation; bulk alone looks at the queue of another shard; a wait at home only where the expected release is within half of the prefix loss; no urgent reserve where slots turn over fast.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionSettings.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionSettings.java
@@ -29,7 +29,7 @@
 	 * @return the settings
 	 */
 	public static AdmissionSettings of(AdmissionPolicy policy, long seed) {
-		return new AdmissionSettings(policy, seed, 3000, 1500, 1000, 50, 1000, 3500, 2048, 2048, 100, 50, 5);
+		return new AdmissionSettings(policy, seed, 3000, 1500, 1000, 50, 1000, 3500, 2048, 2048, 100, 75, 5);
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
@@ -19,7 +19,10 @@
 
 	private static final long NO_CHAT = 0;
 
-	private static final int WAITING_PER_TARGET = 2;
+	/**
+	 * Part of the prefix loss that the expected wait at home may reach.
+	 */
+	private static final double WORTH_WAITING = 0.5;
 
 	private final AdmissionSettings settings;
 
@@ -77,12 +80,13 @@
 
 	@Override
 	public long homeWaitMillis(Shard shard, PendingAsk pending, long nowMillis) {
-		boolean crowded = shard.queue().size() >= WAITING_PER_TARGET * shard.openTargets();
-		if (pending.ask().chatHash() == NO_CHAT || crowded) {
+		if (pending.ask().chatHash() == NO_CHAT || !shard.hasOpenTarget()) {
 			return 0;
 		}
+		double waitingPerTarget = shard.queue().size() / (double) shard.openTargets();
 		return home(shard, pending).filter((home) -> home.granted() > 0)
-			.filter((home) -> home.expectedReleaseMillis() <= this.settings.prefixLossMillis())
+			.filter((home) -> home.expectedReleaseMillis() * (1 + waitingPerTarget) <= this.settings.prefixLossMillis()
+					* WORTH_WAITING)
 			.map((home) -> (long) this.settings.prefixLossMillis())
 			.orElse(0L);
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
@@ -10,6 +10,7 @@
 import org.mustardlane.core.message.GrantAsk;
 import org.mustardlane.core.message.ShardLoad;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.ServiceClass;
 import org.mustardlane.core.model.common.OrganisationId;
 import org.mustardlane.core.model.common.ShardId;
 import org.mustardlane.core.model.common.VmId;
@@ -79,8 +80,11 @@
 		}
 		else if (!shard.queue().contains(key)) {
 			shard.work().arrived(ask.serviceClass(), nowMillis);
-			long workMillis = this.serviceTimes.expectedMillis(ask.entry(), ask.expectedWorkMillis());
-			decide(shard, new PendingAsk(key, sender, ask, nowMillis, workMillis, 0), nowMillis, actions);
+			long workMillis = this.serviceTimes.meanMillis(ask.entry(), ask.expectedWorkMillis());
+			long latestStartMillis = ask.deadlineMillis()
+					- this.serviceTimes.highMillis(ask.entry(), ask.expectedWorkMillis());
+			PendingAsk pending = new PendingAsk(key, sender, ask, nowMillis, workMillis, latestStartMillis, 0);
+			decide(shard, pending, nowMillis, actions);
 		}
 	}
 
@@ -122,12 +126,13 @@
 		int bound = shard.pool().bound(nowMillis);
 		return this.route.route(shard.id().pool(), ask.chatHash())
 			.stream()
-			.filter((other) -> shard.pool().heard(other).filter((load) -> hasRoom(load, bound)).isPresent())
+			.filter((other) -> shard.pool().heard(other).filter((load) -> hasRoom(load, ask, bound)).isPresent())
 			.findFirst();
 	}
 
-	private static boolean hasRoom(ShardLoad load, int bound) {
-		return load.queued() == 0 && load.granted() < Math.min(load.slots(), bound * load.openTargets());
+	private static boolean hasRoom(ShardLoad load, GrantAsk ask, int bound) {
+		boolean bulkWaits = ask.serviceClass() == ServiceClass.BULK && load.queued() > 0;
+		return !bulkWaits && load.granted() < Math.min(load.slots(), bound * load.openTargets());
 	}
 
 	private void queue(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/PendingAsk.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PendingAsk.java
@@ -11,21 +11,15 @@
  * @param ask the ask
  * @param arrivedAtMillis when it arrived
  * @param workMillis how long it will use a slot, as learned
+ * @param latestStartMillis when it can no longer meet its deadline
  * @param homeOnlyUntilMillis until when only the home target of its chat will do
  */
-record PendingAsk(AskKey key, VmId sender, GrantAsk ask, long arrivedAtMillis, long workMillis,
+record PendingAsk(AskKey key, VmId sender, GrantAsk ask, long arrivedAtMillis, long workMillis, long latestStartMillis,
 		long homeOnlyUntilMillis) {
 
 	PendingAsk waitingForHomeUntil(long millis) {
-		return new PendingAsk(this.key, this.sender, this.ask, this.arrivedAtMillis, this.workMillis, millis);
-	}
-
-	/**
-	 * Returns when it can no longer meet its deadline.
-	 * @return the latest start
-	 */
-	long latestStartMillis() {
-		return this.ask.deadlineMillis() - this.workMillis;
+		return new PendingAsk(this.key, this.sender, this.ask, this.arrivedAtMillis, this.workMillis,
+				this.latestStartMillis, millis);
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.mustardlane.core.message.ShardLoad;
 import org.mustardlane.core.model.common.ShardId;
@@ -26,7 +27,7 @@
 
 	private final Map<ShardId, HeardLoad> heardLoads = new HashMap<>();
 
-	private Set<VmId> peers = Set.of();
+	private Set<VmId> peers = new TreeSet<>();
 
 	private int boundPercent;
 
@@ -43,7 +44,7 @@
 	}
 
 	void setPeers(Set<VmId> peers) {
-		this.peers = Set.copyOf(peers);
+		this.peers = new TreeSet<>(peers);
 	}
 
 	void setBoundPercent(int percent) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/ServiceTimes.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/ServiceTimes.java
@@ -21,20 +21,40 @@
 
 	void add(EntryName entry, long millis, long nowMillis) {
 		Learned known = this.entries.get(entry);
-		this.entries.put(entry, (known != null) ? known.and(millis, nowMillis) : new Learned(millis, nowMillis));
+		this.entries.put(entry, (known != null) ? known.and(millis, nowMillis) : new Learned(millis, 0, nowMillis));
 	}
 
-	long expectedMillis(EntryName entry, long publishedMillis) {
+	/**
+	 * Returns the mean time.
+	 * @param entry the entry
+	 * @param publishedMillis what the catalogue says, until something is learned
+	 * @return milliseconds, at least one
+	 */
+	long meanMillis(EntryName entry, long publishedMillis) {
 		Learned known = this.entries.get(entry);
 		return (known != null) ? Math.max(1, (long) known.meanMillis()) : Math.max(1, publishedMillis);
 	}
 
-	private record Learned(double meanMillis, long atMillis) {
+	/**
+	 * Returns a time that few requests pass: the mean and twice the mean deviation.
+	 * @param entry the entry
+	 * @param publishedMillis what the catalogue says, until something is learned
+	 * @return milliseconds, at least one
+	 */
+	long highMillis(EntryName entry, long publishedMillis) {
+		Learned known = this.entries.get(entry);
+		return (known != null) ? Math.max(1, (long) (known.meanMillis() + 2 * known.deviationMillis()))
+				: Math.max(1, publishedMillis);
+	}
+
+	private record Learned(double meanMillis, double deviationMillis, long atMillis) {
 
 		Learned and(long millis, long nowMillis) {
 			double weight = 1 - Math.exp((this.atMillis - nowMillis) / MEMORY_MILLIS);
 			double bounded = Math.max(LEAST_WEIGHT, Math.min(MOST_WEIGHT, weight));
-			return new Learned(this.meanMillis + bounded * (millis - this.meanMillis), nowMillis);
+			double error = millis - this.meanMillis;
+			double deviation = this.deviationMillis + bounded * (Math.abs(error) - this.deviationMillis);
+			return new Learned(this.meanMillis + bounded * error, deviation, nowMillis);
 		}
 
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -97,7 +98,8 @@
 	List<TargetSlots> setTargets(List<Target> members) {
 		Map<TargetId, TargetSlots> next = new LinkedHashMap<>();
 		List<TargetSlots> added = new ArrayList<>();
-		for (Target member : members) {
+		List<Target> sorted = members.stream().sorted(Comparator.comparing(Target::id)).toList();
+		for (Target member : sorted) {
 			TargetSlots known = this.targets.get(member.id());
 			TargetSlots slots = (known != null && known.target().equals(member)) ? known : new TargetSlots(member);
 			next.put(member.id(), slots);
@@ -140,6 +142,18 @@
 		return this.openTargets > 0;
 	}
 
+	/**
+	 * Returns the mean time until the next grant of the shard is given back.
+	 * @return milliseconds
+	 */
+	double expectedReleaseMillis() {
+		double releasesPerMilli = 0;
+		for (TargetSlots slots : this.targets.values()) {
+			releasesPerMilli += 1 / slots.expectedReleaseMillis();
+		}
+		return 1 / releasesPerMilli;
+	}
+
 	/**
 	 * Tells whether some target may run a request.
 	 * @param excluded targets that have failed the request
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/SlotLimits.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/SlotLimits.java
@@ -14,7 +14,12 @@
 
 	private static final int PERCENT = 100;
 
-	private static final double SHORT_DEVIATIONS = 2;
+	private static final double SHORT_DEVIATIONS = 1.5;
+
+	/**
+	 * Nothing is kept for urgent work where a slot comes free within this time anyway.
+	 */
+	private static final double URGENT_WAIT_MILLIS = 50;
 
 	private final AdmissionSettings settings;
 
@@ -31,10 +36,9 @@
 	 */
 	boolean admits(Shard shard, ServiceClass serviceClass, long nowMillis) {
 		int free = shard.openSlots() - shard.openLoad(nowMillis);
-		if (serviceClass == ServiceClass.URGENT || !shard.work().urgentIsAbout(nowMillis)) {
-			return free > 0 || !shard.hasOpenTarget();
-		}
-		return free > reserve(shard);
+		boolean kept = serviceClass != ServiceClass.URGENT && shard.work().urgentIsAbout(nowMillis)
+				&& shard.expectedReleaseMillis() > URGENT_WAIT_MILLIS;
+		return free > (kept ? reserve(shard) : 0) || !shard.hasOpenTarget();
 	}
 
 	private int reserve(Shard shard) {
