--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/quickstart/QuickstartMain.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/quickstart/QuickstartMain.java
@@ -1,6 +1,9 @@
 package org.mustardlane.proof.quickstart;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -12,10 +15,9 @@
 import org.mustardlane.proof.fleet.Fleet;
 import org.mustardlane.proof.fleet.FleetException;
 import org.mustardlane.proof.fleet.FleetSettings;
+import org.mustardlane.proof.fleet.OperatorTool;
 import org.mustardlane.proof.fleet.RouterHandle;
-import org.mustardlane.proof.fleet.Timelines;
 import org.mustardlane.proof.fleet.Waiting;
-import org.mustardlane.protocol.TimelineEntry;
 import org.mustardlane.standin.target.JournalRow;
 
 /**
@@ -31,8 +33,6 @@
 
 	private static final int RETRIES = 8;
 
-	private static final int SHOWN_EVENTS = 40;
-
 	private final Fleet fleet;
 
 	private final Caller caller;
@@ -52,7 +52,8 @@
 	public static void main(String[] args) {
 		System.out.println("Starting the platform, 8 engines, 3 replicas of a plain service and 3 routers ...");
 		boolean whole = false;
-		try (Fleet fleet = Fleet.start(FleetSettings.SMALL); Caller caller = new Caller()) {
+		try (Fleet fleet = Fleet.startWithoutRouters(FleetSettings.SMALL); Caller caller = new Caller()) {
+			fleet.startRouters();
 			whole = new QuickstartMain(fleet, caller, System.out).run();
 		}
 		catch (FleetException ex) {
@@ -66,13 +67,29 @@
 		this.fleet.liveRouters()
 			.forEach((router) -> this.out.printf("  %s in %s: callers %s, metrics %s%n", router.vm(), router.domain(),
 					router.url(), router.metricsUrl()));
-		boolean whole = showChat();
+		boolean whole = publishCatalogue();
+		whole &= showChat();
 		whole &= showRelease();
 		whole &= showKill();
-		showTimeline();
+		whole &= showTimeline();
 		return whole;
 	}
 
+	private boolean publishCatalogue() throws FleetException {
+		title("mustardlane catalogue publish, then status");
+		Path file = this.fleet.logDirectory().resolve("catalogue.yaml");
+		try {
+			Files.writeString(file, this.fleet.catalogue());
+		}
+		catch (IOException ex) {
+			throw new FleetException("the catalogue can not be written", ex);
+		}
+		OperatorTool tool = new OperatorTool(this.fleet.liveRouters());
+		int code = tool.run(List.of("catalogue", "publish", file.toString(), "--author", "quickstart"));
+		tool.run(List.of("status"));
+		return code == 0;
+	}
+
 	private boolean showChat() throws FleetException {
 		title("A streamed chat");
 		CallRequest request = CallRequest.ofTokens("chat", CHAT_TOKENS, "How moist is tray 7?").inChat("chat-1");
@@ -138,10 +155,13 @@
 				AnswerChecker.check(chat.body(), LONG_CHAT_TOKENS, broken.body()));
 	}
 
-	private void showTimeline() {
-		title("The merged time line of the routers that run, last events");
-		List<TimelineEntry> events = Timelines.merge(this.fleet.liveRouters());
-		events.stream().skip(Math.max(0, events.size() - SHOWN_EVENTS)).map(Timelines::line).forEach(this.out::println);
+	private boolean showTimeline() throws FleetException {
+		title("mustardlane timeline, merged over the routers that run");
+		OperatorTool tool = new OperatorTool(this.fleet.liveRouters());
+		Path file = this.fleet.logDirectory().resolve("timeline.html");
+		int code = tool.run(List.of("timeline"));
+		tool.run(List.of("timeline", "--html", file.toString()));
+		return code == 0;
 	}
 
 	private long showExecutions(String key) throws FleetException {
