Expect 'unknown' for a key whose claimant is gone

Seen by bin/quickstart and to be shown by 'A router is killed while the target executes': after kill -9 of the claimant, a retry with its key on another router is told not-run LOG_UNAVAILABLE although the lot was released. Cause, in RequestFlow.claimAnswered: HELD_BY_OTHER, the join fails, the flow asks again until the owner's patience ends, and its UNAVAILABLE becomes NOT_RUN. After a join (joinedBefore) it has to be UNKNOWN HOLDER_GONE.

--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/CallResult.java
@@ -58,6 +58,14 @@
 		return header("x-outcome").filter("not-run"::equals).isPresent();
 	}
 
+	/**
+	 * Returns whether the router says that the request may have run.
+	 * @return whether it does
+	 */
+	public boolean isUnknown() {
+		return header("x-outcome").filter("unknown"::equals).isPresent();
+	}
+
 	/**
 	 * Returns a header or trailer field.
 	 * @param name its name in lower case
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/ExpectSteps.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/ExpectSteps.java
@@ -54,6 +54,12 @@
 		}
 	}
 
+	@Then("expect caller {word} told unknown")
+	public void expectUnknown(String name) throws FleetException {
+		CallResult result = this.world.result(name);
+		assertTrue(result.isUnknown(), name + ": " + result.summary());
+	}
+
 	@Then("expect caller(s) {word} not answered")
 	public void expectNotAnswered(String prefix) throws FleetException {
 		for (RecordedCall call : some(prefix)) {
--- a/mustardlane-proof/src/test/resources/features/once.feature
+++ b/mustardlane-proof/src/test/resources/features/once.feature
@@ -46,6 +46,8 @@
     And I restart vm-1
     And caller C sends release to vm-1 with key lot-1
     Then expect caller A not answered
+    And expect caller B told unknown
+    And expect caller C told unknown
     And expect key lot-1 executed 1 time
 
   @once
