shared: let a router advertise another peer port

The proofs put a forwarder before each router's peer port, which heartbeats would otherwise bypass: peers dial the address in the heartbeat.

--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -177,8 +177,9 @@
 
 	private NodeSettings nodeSettings(int peerPort) {
 		long seed = (this.settings.seed() != 0) ? this.settings.seed() : this.startedAtMillis;
-		return new NodeSettings(this.settings.vm(), this.settings.domain(), this.settings.host(), peerPort,
-				this.startedAtMillis, seed);
+		int advertised = this.settings.ports().advertisedPeer();
+		return new NodeSettings(this.settings.vm(), this.settings.domain(), this.settings.host(),
+				(advertised != 0) ? advertised : peerPort, this.startedAtMillis, seed);
 	}
 
 	private static Optional<PeerAddress> addressOf(Node node, VmId vm) {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterOption.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterOption.java
@@ -33,6 +33,11 @@
 	 */
 	PEER_PORT("peer-port", "TCP port for other routers, 0 for a free one", "0"),
 
+	/**
+	 * Port that other routers are told.
+	 */
+	ADVERTISED_PEER_PORT("advertised-peer-port", "TCP port that other routers are told, 0 for the peer port", "0"),
+
 	/**
 	 * Port for operators.
 	 */
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterSettings.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterSettings.java
@@ -29,10 +29,11 @@
 	 *
 	 * @param caller for callers
 	 * @param peer for other routers
+	 * @param advertisedPeer what other routers are told, 0 for the peer port
 	 * @param operator for operators
 	 * @param metrics for metrics and health
 	 */
-	public record Ports(int caller, int peer, int operator, int metrics) {
+	public record Ports(int caller, int peer, int advertisedPeer, int operator, int metrics) {
 
 	}
 
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/SettingsReader.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/SettingsReader.java
@@ -116,7 +116,8 @@
 
 	private RouterSettings.Ports ports() {
 		return new RouterSettings.Ports(port(RouterOption.CALLER_PORT), port(RouterOption.PEER_PORT),
-				port(RouterOption.OPERATOR_PORT), port(RouterOption.METRICS_PORT));
+				port(RouterOption.ADVERTISED_PEER_PORT), port(RouterOption.OPERATOR_PORT),
+				port(RouterOption.METRICS_PORT));
 	}
 
 	private int port(RouterOption option) {
