--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/OutcomeChecker.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/caller/OutcomeChecker.java
@@ -87,6 +87,9 @@
 		else if (result.status() != 0 && result.error().isEmpty() && result.header("x-outcome").isEmpty()) {
 			this.violations.add(call.name() + ": no outcome is given: " + result.summary());
 		}
+		else if (result.error().isEmpty() && result.header("x-outcome").filter("pending"::equals).isPresent()) {
+			this.violations.add(call.name() + ": the answer ends regularly without an outcome: " + result.summary());
+		}
 		else if (result.status() == 200 && STREAMED_ENTRIES.contains(call.request().entry())
 				&& verdict(call, result).equals(AnswerVerdict.FOREIGN.name())) {
 			this.violations.add(call.name() + ": the broken answer holds foreign bytes: " + result.text());
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -55,15 +56,15 @@
 
 	private final Set<String> leaving = new TreeSet<>();
 
-	private final VmRows vmRows;
+	private final Links links = new Links();
 
 	private final Thread stopper = new Thread(this::stopProcesses, "fleet-stopper");
 
 	private Fleet(FleetSettings settings, Path logDirectory) throws FleetException {
 		this.settings = settings;
 		this.logDirectory = logDirectory;
-		this.vmRows = new VmRows(settings.domains());
-		this.targets = new TargetGroup(this.control, settings.forwardTargets());
+		this.targets = new TargetGroup(this.control,
+				settings.forwardTargets() ? Optional.of(this.links) : Optional.empty());
 		Runtime.getRuntime().addShutdownHook(this.stopper);
 		try {
 			this.platform = new PlatformHandle(this.control, settings.domains(), startPlatform());
@@ -214,13 +215,11 @@
 	}
 
 	/**
-	 * Cuts or joins the links between two failure domains.
-	 * @param one the one
-	 * @param other the other
-	 * @param state what becomes of connections
+	 * Returns the links between the processes.
+	 * @return the links
 	 */
-	public void link(String one, String other, LinkState state) {
-		this.vmRows.set(one, other, state, List.copyOf(this.routers.values()));
+	public Links links() {
+		return this.links;
 	}
 
 	/**
@@ -280,14 +279,6 @@
 		return this.control;
 	}
 
-	/**
-	 * Returns how many bytes have passed between routers.
-	 * @return the number
-	 */
-	public long bytesBetweenRouters() {
-		return this.vmRows.passedBytes();
-	}
-
 	/**
 	 * Returns where the logs of the processes are.
 	 * @return the directory
@@ -299,8 +290,7 @@
 	@Override
 	public void close() {
 		stopProcesses();
-		this.vmRows.close();
-		this.targets.close();
+		this.links.close();
 		this.control.close();
 		try {
 			Runtime.getRuntime().removeShutdownHook(this.stopper);
@@ -341,17 +331,21 @@
 	private ManagedProcess launchRouter(String vm, String domain) throws FleetException {
 		List<String> args = new ArrayList<>(
 				List.of("--vm", vm, "--domain", domain, "--host", "127.0.0.1", "--caller-port", "0", "--peer-port", "0",
-						"--operator-port", "0", "--metrics-port", "0", "--platform-url", this.platform.url(domain)));
+						"--operator-port", "0", "--metrics-port", "0", "--platform-url", this.platform.url(domain),
+						"--advertised-peer-port", Integer.toString(this.links.toRouter(vm, domain).port())));
 		args.addAll(this.settings.routerFlags());
-		return launch(vm, JavaCommand.of(ROUTER_HEAP_MEBIBYTES, ROUTER, args));
+		ManagedProcess process = launch(vm, JavaCommand.of(ROUTER_HEAP_MEBIBYTES, ROUTER, args));
+		this.links.addSource(process.pid(), domain);
+		return process;
 	}
 
 	private RouterHandle register(String vm, String domain, ManagedProcess process) throws FleetException {
 		JsonNode line = process.awaitListening(1).get(0);
-		RouterHandle router = new RouterHandle(vm, domain, process, line.path("callerPort").asInt(),
-				line.path("peerPort").asInt(), line.path("operatorPort").asInt(), line.path("metricsPort").asInt());
+		Forwarder link = this.links.toRouter(vm, domain);
+		link.connectTo(line.path("peerPort").asInt());
+		RouterHandle router = new RouterHandle(vm, domain, process, line.path("callerPort").asInt(), link.port(),
+				line.path("operatorPort").asInt(), line.path("metricsPort").asInt());
 		this.routers.put(vm, router);
-		this.vmRows.link(router);
 		return router;
 	}
 
@@ -362,7 +356,7 @@
 	}
 
 	private void listVms() throws FleetException {
-		this.platform.list(this.vmRows, List.copyOf(this.routers.values()), this.targets.all(), this.leaving);
+		this.platform.list(VmRows.of(List.copyOf(this.routers.values()), this.targets.all(), this.leaving));
 	}
 
 	private void stopProcesses() {
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
@@ -1,8 +1,8 @@
 package org.mustardlane.proof.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,24 +33,28 @@
 		return thread;
 	}, NioIoHandler.newFactory());
 
-	private final int targetPort;
+	private final ConnectionSources sources;
 
 	private final Channel server;
 
-	private final Set<Channel> links = ConcurrentHashMap.newKeySet();
+	private final Map<Channel, String> links = new ConcurrentHashMap<>();
+
+	private final Map<String, LinkState> statesBySource = new ConcurrentHashMap<>();
 
 	private final AtomicLong passedBytes = new AtomicLong();
 
+	private volatile int targetPort;
+
 	private volatile LinkState state = LinkState.OPEN;
 
 	private volatile int delayMillis;
 
 	/**
-	 * Begins to pass connections on.
-	 * @param targetPort where they go
+	 * Begins to listen.
+	 * @param sources tells where connections come from
 	 */
-	public Forwarder(int targetPort) {
-		this.targetPort = targetPort;
+	Forwarder(ConnectionSources sources) {
+		this.sources = sources;
 		this.server = new ServerBootstrap().group(GROUP)
 			.channel(NioServerSocketChannel.class)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -74,6 +78,14 @@
 		return ((InetSocketAddress) this.server.localAddress()).getPort();
 	}
 
+	/**
+	 * Sets where new connections go.
+	 * @param port the port
+	 */
+	void connectTo(int port) {
+		this.targetPort = port;
+	}
+
 	/**
 	 * Returns how many bytes it has passed on, both ways together.
 	 * @return the number
@@ -88,11 +100,31 @@
 	 */
 	public void set(LinkState wanted) {
 		this.state = wanted;
+		this.links.forEach(this::apply);
+	}
+
+	/**
+	 * Sets what becomes of connections from one failure domain.
+	 * @param source the domain
+	 * @param wanted the state
+	 */
+	public void set(String source, LinkState wanted) {
+		this.statesBySource.put(source, wanted);
+		this.links.forEach(this::apply);
+	}
+
+	private LinkState stateOf(String source) {
+		LinkState wanted = this.statesBySource.getOrDefault(source, LinkState.OPEN);
+		return (wanted != LinkState.OPEN) ? wanted : this.state;
+	}
+
+	private void apply(Channel link, String source) {
+		LinkState wanted = stateOf(source);
 		if (wanted == LinkState.RESET) {
-			this.links.forEach(Forwarder::reset);
+			reset(link);
 		}
-		if (wanted == LinkState.OPEN) {
-			this.links.forEach((link) -> link.pipeline().fireUserEventTriggered(wanted));
+		else if (wanted == LinkState.OPEN) {
+			link.pipeline().fireUserEventTriggered(wanted);
 		}
 	}
 
@@ -107,11 +139,12 @@
 	@Override
 	public void close() {
 		this.server.close();
-		this.links.forEach(Channel::close);
+		this.links.keySet().forEach(Channel::close);
 	}
 
 	private void accept(SocketChannel near) {
-		if (this.state == LinkState.RESET) {
+		String source = this.sources.domainOf(port(), near.remoteAddress().getPort());
+		if (stateOf(source) == LinkState.RESET) {
 			reset(near);
 			return;
 		}
@@ -119,13 +152,13 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.AUTO_READ, false)
-			.handler(new Pipe(near));
+			.handler(new Pipe(near, source));
 		Channel far = bootstrap.connect("127.0.0.1", this.targetPort).addListener((connected) -> {
 			if (!connected.isSuccess()) {
 				reset(near);
 			}
 		}).channel();
-		near.pipeline().addLast(new Pipe(far));
+		near.pipeline().addLast(new Pipe(far, source));
 	}
 
 	private static void reset(Channel channel) {
@@ -140,15 +173,18 @@
 
 		private final Channel other;
 
+		private final String source;
+
 		private Optional<Object> held = Optional.empty();
 
-		Pipe(Channel other) {
+		Pipe(Channel other, String source) {
 			this.other = other;
+			this.source = source;
 		}
 
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
-			Forwarder.this.links.add(context.channel());
+			Forwarder.this.links.put(context.channel(), this.source);
 			if (this.other.isActive()) {
 				context.read();
 				this.other.read();
@@ -176,7 +212,7 @@
 		}
 
 		private void pass(ChannelHandlerContext context, Object message) {
-			if (Forwarder.this.state == LinkState.SILENT) {
+			if (stateOf(this.source) == LinkState.SILENT) {
 				this.held = Optional.of(message);
 				return;
 			}
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/PlatformHandle.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/PlatformHandle.java
@@ -1,10 +1,8 @@
 package org.mustardlane.proof.fleet;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -54,10 +52,9 @@
 		}
 	}
 
-	void list(VmRows rows, Collection<RouterHandle> routers, Collection<TargetHandle> targets, Set<String> leaving)
-			throws FleetException {
-		for (String domain : this.urls.keySet()) {
-			this.control.put(url(domain) + "/vms", rows.listFor(domain, routers, targets, leaving));
+	void list(Map<String, Object> vms) throws FleetException {
+		for (String url : this.urls.values()) {
+			this.control.put(url + "/vms", vms);
 		}
 	}
 
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/TargetGroup.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/TargetGroup.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -17,27 +18,22 @@
 
 	private final ControlClient control;
 
-	private final boolean forwarded;
+	private final Optional<Links> links;
 
 	private final Map<String, TargetHandle> targets = new LinkedHashMap<>();
 
-	private final Map<String, Forwarder> links = new LinkedHashMap<>();
-
-	TargetGroup(ControlClient control, boolean forwarded) {
+	TargetGroup(ControlClient control, Optional<Links> links) {
 		this.control = control;
-		this.forwarded = forwarded;
+		this.links = links;
 	}
 
 	void add(TargetKind kind, List<JsonNode> lines, FleetSettings settings) {
 		for (int index = 0; index < lines.size(); index++) {
 			int port = lines.get(index).path("port").asInt();
 			String name = ((kind == TargetKind.ENGINE) ? "engine-" : "service-") + (index + 1);
-			int routedPort = port;
-			if (this.forwarded) {
-				this.links.put(name, new Forwarder(port));
-				routedPort = this.links.get(name).port();
-			}
-			this.targets.put(name, new TargetHandle(name, kind, settings.domain(index), port, routedPort));
+			String domain = settings.domain(index);
+			int routedPort = this.links.map((through) -> forward(through.toTarget(name, domain), port)).orElse(port);
+			this.targets.put(name, new TargetHandle(name, kind, domain, port, routedPort));
 		}
 	}
 
@@ -71,15 +67,6 @@
 		}
 	}
 
-	/**
-	 * Cuts or joins the links to a target.
-	 * @param target its name
-	 * @param state what becomes of connections
-	 */
-	public void link(String target, LinkState state) {
-		this.links.get(target).set(state);
-	}
-
 	/**
 	 * Reads what all targets of one kind recorded.
 	 * @param kind the kind
@@ -112,8 +99,9 @@
 		return this.targets.values().stream().filter((target) -> target.kind() == kind).toList();
 	}
 
-	void close() {
-		this.links.values().forEach(Forwarder::close);
+	private static int forward(Forwarder forwarder, int port) {
+		forwarder.connectTo(port);
+		return forwarder.port();
 	}
 
 }
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/ControlTrafficExperiment.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/ControlTrafficExperiment.java
@@ -24,9 +24,9 @@
 
 	@Override
 	public Map<String, Double> run(Bench bench) throws FleetException {
-		long before = bench.fleet().bytesBetweenRouters();
+		long before = bench.fleet().links().bytesBetweenRouters();
 		Waiting.pause(DURATION_MILLIS);
-		double bytes = bench.fleet().bytesBetweenRouters() - before;
+		double bytes = bench.fleet().links().bytesBetweenRouters() - before;
 		int routers = bench.fleet().liveRouters().size();
 		Map<String, Double> figures = new LinkedHashMap<>();
 		figures.put(IDLE_BYTES, bytes * MILLIS_PER_SECOND / DURATION_MILLIS / routers);
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/random/RandomFaults.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/random/RandomFaults.java
@@ -123,7 +123,7 @@
 	private void setLinks(String domain, LinkState state) {
 		for (String other : this.domains) {
 			if (!other.equals(domain)) {
-				this.fleet.link(domain, other, state);
+				this.fleet.links().set(domain, other, state);
 			}
 		}
 	}
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/fleet/ForwarderTests.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/fleet/ForwarderTests.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 
 import org.testng.annotations.Test;
@@ -22,7 +23,7 @@
 
 	@Test
 	public void passesBytesInOrderFromTheFirstOn() throws IOException {
-		try (ServerSocket server = listen(); Forwarder forwarder = new Forwarder(server.getLocalPort())) {
+		try (ServerSocket server = listen(); Forwarder forwarder = forwarder(server)) {
 			for (int round = 0; round < 100; round++) {
 				try (Socket near = connect(forwarder)) {
 					near.getOutputStream().write(new byte[] { 1, 2, 3 });
@@ -40,7 +41,7 @@
 	@Test
 	public void holdsBytesBackWhileSilentAndPassesThemAfterwards() throws IOException {
 		try (ServerSocket server = listen();
-				Forwarder forwarder = new Forwarder(server.getLocalPort());
+				Forwarder forwarder = forwarder(server);
 				Socket near = connect(forwarder);
 				Socket far = server.accept()) {
 			near.getOutputStream().write(1);
@@ -55,6 +56,28 @@
 		}
 	}
 
+	@Test
+	public void cutsOnlyTheSourceThatIsNamed() throws IOException {
+		ConnectionSources sources = new ConnectionSources();
+		sources.add(ProcessHandle.current().pid(), "north");
+		try (ServerSocket server = listen(); Forwarder forwarder = new Forwarder(sources)) {
+			forwarder.connectTo(server.getLocalPort());
+			forwarder.set("south", LinkState.RESET);
+			try (Socket near = connect(forwarder); Socket far = server.accept()) {
+				near.getOutputStream().write(1);
+				assertEquals(far.getInputStream().read(), 1);
+				forwarder.set("north", LinkState.RESET);
+				assertThrows(SocketException.class, () -> near.getInputStream().read());
+			}
+		}
+	}
+
+	private static Forwarder forwarder(ServerSocket server) {
+		Forwarder forwarder = new Forwarder(new ConnectionSources());
+		forwarder.connectTo(server.getLocalPort());
+		return forwarder;
+	}
+
 	private static ServerSocket listen() throws IOException {
 		return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 	}
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
@@ -85,12 +85,12 @@
 
 	@When("I cut {string} from {string}")
 	public void cut(String one, String other) {
-		this.world.fleet().link(one, other, LinkState.SILENT);
+		this.world.fleet().links().set(one, other, LinkState.SILENT);
 	}
 
 	@When("I join {string} and {string}")
 	public void join(String one, String other) {
-		this.world.fleet().link(one, other, LinkState.OPEN);
+		this.world.fleet().links().set(one, other, LinkState.OPEN);
 	}
 
 	@When("the platform has the faults {}")
