--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -60,6 +60,8 @@
 
 	private final Thread stopper = new Thread(this::stopProcesses, "fleet-stopper");
 
+	private long firstRevision;
+
 	private Fleet(FleetSettings settings, Path logDirectory) throws FleetException {
 		this.settings = settings;
 		this.logDirectory = logDirectory;
@@ -97,7 +99,8 @@
 		Fleet fleet = startWithoutRouters(settings);
 		try {
 			fleet.startRouters();
-			fleet.awaitRevision(fleet.publish(fleet.catalogue()).getRevision());
+			fleet.firstRevision = fleet.publish(fleet.catalogue()).getRevision();
+			fleet.awaitRevision(fleet.firstRevision);
 			return fleet;
 		}
 		catch (FleetException ex) {
@@ -214,6 +217,14 @@
 		return CatalogueYaml.whole(this.targets.all(), this.settings.engineSlots());
 	}
 
+	/**
+	 * Returns the revision of the catalogue that the fleet was started with.
+	 * @return the revision
+	 */
+	public long firstRevision() {
+		return this.firstRevision;
+	}
+
 	/**
 	 * Returns the links between the processes.
 	 * @return the links
