--- /dev/null
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/JavaLogging.java
@@ -0,0 +1,46 @@
+package org.mustardlane.router;
+
+import java.util.Optional;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Sends what libraries log through java.util.logging to the log of the daemon.
+ */
+final class JavaLogging extends Handler {
+
+	private JavaLogging() {
+		setLevel(Level.WARNING);
+	}
+
+	/**
+	 * Replaces the handlers of java.util.logging.
+	 */
+	static void install() {
+		LogManager.getLogManager().reset();
+		LogManager.getLogManager().getLogger("").addHandler(new JavaLogging());
+	}
+
+	@Override
+	public void publish(LogRecord record) {
+		if (!isLoggable(record)) {
+			return;
+		}
+		Logger logger = org.apache.logging.log4j.LogManager
+			.getLogger(Optional.ofNullable(record.getLoggerName()).orElse("java.util.logging"));
+		logger.warn(record.getMessage(), record.getThrown());
+	}
+
+	@Override
+	public void flush() {
+	}
+
+	@Override
+	public void close() {
+	}
+
+}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/RouterDaemon.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/RouterDaemon.java
@@ -64,6 +64,7 @@
 	private static int serve(RouterSettings settings, String redacted) throws IOException {
 		System.setProperty("mustardlane.vm", settings.vm().value());
 		System.setProperty("mustardlane.domain", settings.domain().value());
+		JavaLogging.install();
 		Logger logger = LogManager.getLogger(RouterDaemon.class);
 		logger.info("Settings: {}", redacted);
 		try (Router router = new Router(settings)) {
