--- a/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorAnswers.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/operator/OperatorAnswers.java
@@ -27,7 +27,7 @@
  */
 final class OperatorAnswers {
 
-	private static final long SILENCE_LIMIT_MILLIS = 5000;
+	private static final long SILENCE_LIMIT_MILLIS = 8000;
 
 	private OperatorAnswers() {
 	}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/platform/StreamFollower.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/platform/StreamFollower.java
@@ -18,7 +18,7 @@
  */
 final class StreamFollower {
 
-	private static final int WAIT_MILLIS = 1000;
+	private static final int WAIT_MILLIS = 2000;
 
 	private static final int OK = 200;
 
