--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterClient.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterClient.java
@@ -113,7 +113,8 @@
 				.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS));
 		}
 		catch (StatusRuntimeException ex) {
-			throw new RouterException(this.address, reason(ex.getStatus()), !isRefusedConnection(ex));
+			throw new RouterException(this.address, reason(ex.getStatus()), !isRefusedConnection(ex),
+					ex.getStatus().getCode() == Status.Code.NOT_FOUND);
 		}
 	}
 
--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterException.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterException.java
@@ -7,18 +7,22 @@
 
 	private static final long serialVersionUID = 1L;
 
-	private final transient RouterAddress address;
-
 	private final boolean sent;
 
-	RouterException(RouterAddress address, String reason, boolean sent) {
+	private final boolean notFound;
+
+	RouterException(RouterAddress address, String reason, boolean sent, boolean notFound) {
 		super("router " + address + ": " + reason);
-		this.address = address;
 		this.sent = sent;
+		this.notFound = notFound;
 	}
 
-	RouterAddress address() {
-		return this.address;
+	/**
+	 * Returns whether the router does not hold what was asked for.
+	 * @return whether it answered so
+	 */
+	boolean isNotFound() {
+		return this.notFound;
 	}
 
 	/**
--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterPool.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterPool.java
@@ -77,7 +77,8 @@
 	}
 
 	private CommandException unreachable() {
-		return new CommandException(ExitCode.UNAVAILABLE, String.join("; ", warnings()));
+		boolean notFound = this.failures.stream().allMatch(RouterException::isNotFound);
+		return new CommandException(notFound ? ExitCode.USAGE : ExitCode.UNAVAILABLE, String.join("; ", warnings()));
 	}
 
 	/**
--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/ShowCommand.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/ShowCommand.java
@@ -31,12 +31,7 @@
 	 */
 	static ShowCatalogueAnswer fetch(RouterPool pool, long revision, long timeoutMillis) throws CommandException {
 		ShowCatalogueRequest request = ShowCatalogueRequest.newBuilder().setAtRevision(revision).build();
-		ShowCatalogueAnswer answer = pool.first((client) -> client.show(request, timeoutMillis));
-		if (revision != 0 && (answer.getRevision() != revision || answer.getYaml().isEmpty())) {
-			throw new CommandException(ExitCode.USAGE, "the router no longer holds revision " + revision
-					+ "; 'catalogue history' lists the changes, of which the newest are held");
-		}
-		return answer;
+		return pool.first((client) -> client.show(request, timeoutMillis));
 	}
 
 	/**
--- a/mustardlane-cli/src/test/java/org/mustardlane/cli/CommandLineToolTests.java
+++ b/mustardlane-cli/src/test/java/org/mustardlane/cli/CommandLineToolTests.java
@@ -91,7 +91,7 @@
 				{ "catalogue validate", "FILE: is missing" },
 				{ "catalogue validate no/such", "file no/such can not be read" },
 				{ "catalogue publish f --router @1", "--author: is missing" },
-				{ "catalogue show --router @1 --revision 9", "no longer holds revision 9" },
+				{ "catalogue show --router @1 --revision 9", "revision is not kept" },
 				{ "catalogue diff --router @1 x", "'x' is not a revision" },
 				{ "timeline --router @1 --html /no/such/dir", "can not be written" },
 				{ "drain --router @1,@2", "name exactly one router" } };
--- a/mustardlane-cli/src/test/java/org/mustardlane/cli/FakeRouter.java
+++ b/mustardlane-cli/src/test/java/org/mustardlane/cli/FakeRouter.java
@@ -97,6 +97,10 @@
 
 	@Override
 	public void showCatalogue(ShowCatalogueRequest request, StreamObserver<ShowCatalogueAnswer> observer) {
+		if (request.getAtRevision() > 4) {
+			observer.onError(Status.NOT_FOUND.withDescription("revision is not kept").asRuntimeException());
+			return;
+		}
 		String bound = (request.getAtRevision() == 3) ? "110" : "120";
 		String yaml = "entries:\n  - name: 'e'\n    base: 1\n    loadBoundPercent: " + bound + "\n";
 		ShowCatalogueAnswer.Builder shown = ShowCatalogueAnswer.newBuilder().setRevision(4).setYaml(yaml);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -19,6 +19,7 @@
 import org.mustardlane.core.event.RecordEvent;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.event.UnfollowStream;
 import org.mustardlane.core.message.CatalogueRelay;
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.message.Gossip;
@@ -39,6 +40,8 @@
 
 	private static final long GAP_MILLIS = 2_000;
 
+	private static final long BEHIND_MILLIS = 1_000;
+
 	private final RankedLock lock = new RankedLock(LockRank.CATALOGUE);
 
 	private final VmId self;
@@ -49,6 +52,8 @@
 
 	private final CheckpointSchedule checkpoints;
 
+	private final ReadingRole role;
+
 	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
 
 	private boolean following;
@@ -59,6 +64,10 @@
 
 	private long gapDeadlineMillis = Long.MAX_VALUE;
 
+	private long behindDeadlineMillis = Long.MAX_VALUE;
+
+	private long knownRevision;
+
 	/**
 	 * Creates the handler.
 	 * @param self this router
@@ -76,6 +85,7 @@
 		this.self = self;
 		this.publishes = new PublishTable(settings);
 		this.checkpoints = new CheckpointSchedule(self, settings);
+		this.role = new ReadingRole(self);
 	}
 
 	@Override
@@ -93,6 +103,7 @@
 			}
 			else if (event instanceof PublishRequested request) {
 				actions.addAll(this.publishes.request(request));
+				adjustReading(nowMillis, actions);
 				advancePublishes(nowMillis, actions);
 			}
 			else if (event instanceof PeerMessageReceived received) {
@@ -100,23 +111,34 @@
 			}
 			else if (event instanceof OwnershipChanged changed) {
 				this.checkpoints.ownershipChanged(changed.ownership());
+				this.role.ownershipChanged(changed.ownership());
 			}
 			return actions;
 		});
 	}
 
 	private void tick(long nowMillis, List<NodeAction> actions) {
-		if (!this.following || nowMillis >= this.gapDeadlineMillis) {
-			this.following = true;
-			this.gapDeadlineMillis = Long.MAX_VALUE;
-			actions.add(new FollowStream(StreamName.CATALOGUE, this.log.state().nextOffset()));
-		}
+		adjustReading(nowMillis, actions);
 		advancePublishes(nowMillis, actions);
 		if (this.view != LogView.PARTIAL) {
 			this.checkpoints.due(this.log, nowMillis).ifPresent(actions::add);
 		}
 	}
 
+	private void adjustReading(long nowMillis, List<NodeAction> actions) {
+		boolean stalled = nowMillis >= this.gapDeadlineMillis;
+		boolean wanted = stalled || this.role.isReader() || !this.publishes.isEmpty() || this.view == LogView.PARTIAL
+				|| nowMillis >= this.behindDeadlineMillis;
+		if (wanted && (stalled || !this.following)) {
+			this.gapDeadlineMillis = Long.MAX_VALUE;
+			actions.add(new FollowStream(StreamName.CATALOGUE, this.log.state().nextOffset()));
+		}
+		if (!wanted && this.following) {
+			actions.add(new UnfollowStream(StreamName.CATALOGUE));
+		}
+		this.following = wanted;
+	}
+
 	private void recordsRead(LogRecordsRead read, long nowMillis, List<NodeAction> actions) {
 		acceptRecords(read.records(), nowMillis, actions);
 		if (read.atEnd() && !this.log.hasGap()) {
@@ -127,8 +149,11 @@
 	}
 
 	private void acceptRecords(List<LogRecord> records, long nowMillis, List<NodeAction> actions) {
+		long nextOffset = this.log.state().nextOffset();
 		boolean changed = this.log.accept(records);
 		watchGap(nowMillis);
+		watchBehind(this.knownRevision, nowMillis);
+		tellListeners(nextOffset, actions);
 		this.log.takeNotes().forEach((note) -> actions.add(event(note.kind(), note.detail())));
 		if (changed) {
 			this.snapshot = this.log.state().snapshot();
@@ -147,6 +172,25 @@
 		}
 	}
 
+	private void watchBehind(long peerRevision, long nowMillis) {
+		this.knownRevision = Math.max(this.knownRevision, peerRevision);
+		if (this.knownRevision <= this.log.state().revision()) {
+			this.behindDeadlineMillis = Long.MAX_VALUE;
+		}
+		else if (this.behindDeadlineMillis == Long.MAX_VALUE) {
+			this.behindDeadlineMillis = nowMillis + BEHIND_MILLIS;
+		}
+	}
+
+	private void tellListeners(long fromOffset, List<NodeAction> actions) {
+		List<VmId> listeners = this.role.listeners();
+		if (this.view == LogView.PARTIAL || listeners.isEmpty() || fromOffset == this.log.state().nextOffset()) {
+			return;
+		}
+		CatalogueRelay relay = new CatalogueRelay(this.log.relayFrom(fromOffset));
+		listeners.forEach((listener) -> actions.add(new SendPeer(listener, relay)));
+	}
+
 	private void advancePublishes(long nowMillis, List<NodeAction> actions) {
 		if (!this.publishes.isEmpty()) {
 			actions.addAll(this.publishes.advance(this.log.state(), this.view, nowMillis));
@@ -165,11 +209,21 @@
 		}
 		else if (received.message() instanceof CatalogueRelay relay) {
 			acceptRecords(relay.records(), nowMillis, actions);
+			if (this.log.hasGap()) {
+				ask(received.sender(), nowMillis, actions);
+			}
 		}
 	}
 
 	private void askIfBehind(VmId peer, long peerRevision, long nowMillis, List<NodeAction> actions) {
-		if (peerRevision > this.log.state().revision() && nowMillis >= this.nextRelayAskMillis) {
+		watchBehind(peerRevision, nowMillis);
+		if (peerRevision > this.log.state().revision()) {
+			ask(peer, nowMillis, actions);
+		}
+	}
+
+	private void ask(VmId peer, long nowMillis, List<NodeAction> actions) {
+		if (nowMillis >= this.nextRelayAskMillis) {
 			this.nextRelayAskMillis = nowMillis + RELAY_ASK_INTERVAL_MILLIS;
 			actions.add(new SendPeer(peer, new CatalogueRelayAsk(this.log.state().nextOffset())));
 		}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ParsedChange.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ParsedChange.java
@@ -24,17 +24,22 @@
 	}
 
 	/**
-	 * Returns a finding about an item, at the item's place where the change holds it.
+	 * Returns a finding about an item, where the change holds it or the item that it does
+	 * not fit.
 	 * @param violation what is wrong with which item
 	 * @return the finding
 	 */
 	Finding locate(ReferenceRules.Violation violation) {
 		Origin origin = this.origins.get(violation.item());
-		if (origin == null) {
-			return new Finding("", 1, 1, violation.item() + ": " + violation.message());
+		if (origin != null) {
+			return origin.finding(violation.field(), violation.message());
 		}
-		YamlNode.Place place = origin.placeOf(violation.field());
-		return new Finding(origin.path() + "." + violation.field(), place.line(), place.column(), violation.message());
+		String message = violation.item() + ": " + violation.message();
+		Origin other = this.origins.get(violation.other());
+		if (other != null) {
+			return other.finding(violation.other().kind().nameField(), message);
+		}
+		return new Finding("", 1, 1, message);
 	}
 
 	/**
@@ -45,6 +50,11 @@
 	 */
 	record Origin(String path, YamlNode.Mapping mapping) {
 
+		private Finding finding(String field, String message) {
+			YamlNode.Place place = placeOf(field);
+			return new Finding(this.path + "." + field, place.line(), place.column(), message);
+		}
+
 		YamlNode.Place placeOf(String field) {
 			YamlNode.Field found = this.mapping.fields().get(field);
 			return (found != null) ? found.value().place() : this.mapping.place();
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ReferenceRules.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ReferenceRules.java
@@ -42,15 +42,16 @@
 			List<Violation> violations) {
 		ItemKey key = new ItemKey(ItemKind.ENTRY, entry.name().value());
 		if (!state.organisations().containsKey(entry.owner())) {
-			violations.add(new Violation(key, "owner", "no organisation is named " + entry.owner()));
+			violations.add(new Violation(key, "owner", "no organisation is named " + entry.owner(),
+					new ItemKey(ItemKind.ORGANISATION, entry.owner().value())));
 		}
 		List<Target> targets = pools.getOrDefault(entry.pool(), List.of());
 		if (targets.isEmpty()) {
-			violations.add(new Violation(key, "pool", "no target belongs to pool " + entry.pool()));
+			violations.add(new Violation(key, "pool", "no target belongs to pool " + entry.pool(), key));
 		}
 		if (entry.streaming() && targets.stream().anyMatch((target) -> target.kind() == TargetKind.SERVICE)) {
 			violations.add(new Violation(key, "streaming",
-					"pool %s holds plain services, which do not stream".formatted(entry.pool())));
+					"pool %s holds plain services, which do not stream".formatted(entry.pool()), key));
 		}
 	}
 
@@ -59,7 +60,8 @@
 		targets.stream().filter((target) -> target.kind() != kind).forEach((target) -> {
 			ItemKey key = new ItemKey(ItemKind.TARGET, target.id().value());
 			violations.add(new Violation(key, "kind",
-					"pool %s holds %s as %s; a pool is of one kind".formatted(pool, targets.get(0).id(), kind)));
+					"pool %s holds %s as %s; a pool is of one kind".formatted(pool, targets.get(0).id(), kind),
+					new ItemKey(ItemKind.TARGET, targets.get(0).id().value())));
 		});
 	}
 
@@ -69,8 +71,9 @@
 	 * @param item the item
 	 * @param field the field
 	 * @param message what is wrong, in words
+	 * @param other the item that it does not fit, or the item itself
 	 */
-	record Violation(ItemKey item, String field, String message) {
+	record Violation(ItemKey item, String field, String message, ItemKey other) {
 
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
@@ -9,6 +9,7 @@
 import org.mustardlane.core.event.AppendResult;
 import org.mustardlane.core.event.FollowStream;
 import org.mustardlane.core.event.RaiseEvent;
+import org.mustardlane.core.model.catalogue.Finding;
 import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.catalogue.PublishVerdict;
 import org.mustardlane.core.model.common.EntryName;
@@ -197,7 +198,10 @@
 		this.one.results();
 		this.one.publish("c2", ChangeSamples.removal("organisations", "id", "o1", 1), DEADLINE, 4);
 		this.one.read(100, 200);
-		assertEquals(this.one.results().get(0).verdict(), PublishVerdict.REJECTED);
+		PublishResult rejected = this.one.results().get(0);
+		assertEquals(rejected.verdict(), PublishVerdict.REJECTED);
+		assertEquals(rejected.findings(),
+				List.of(new Finding("remove.organisations[0].id", 3, 12, "entry e1: no organisation is named o1")));
 		this.one.publish("c3", ChangeSamples.removal("entries", "name", "e1", 1), DEADLINE, 201);
 		this.one.append(AppendResult.APPENDED, true, 202);
 		this.one.read(100, 203);
