--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueAgreementTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueAgreementTests.java
@@ -12,15 +12,18 @@
 import org.mustardlane.core.event.AppendLog;
 import org.mustardlane.core.event.AppendResult;
 import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.PeerMessageReceived;
 import org.mustardlane.core.event.PublishEnded;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.message.Gossip;
 import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.catalogue.PublishVerdict;
+import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.model.log.LogRecord;
 import org.mustardlane.core.model.log.StreamName;
+import org.mustardlane.core.model.membership.Ownership;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -107,14 +110,36 @@
 			case 0 -> this.outage = this.random.nextInt(3) == 0;
 			case 1 -> this.log.cutBefore(this.log.newestCheckpoint());
 			case 2 -> gossip(index);
+			case 7 -> ownership(router);
 			case 3, 4 -> publish(router);
 			case 5 -> restart(index);
 			case 6 -> lateEffect();
-			case 7, 8, 9, 10 -> append(router);
+			case 8, 9, 10 -> append(router);
 			case 11, 12, 13, 14 -> read(router, index);
 			default -> router.tick(this.nowMillis);
 		}
 		settle(router);
+		deliver(index, 80);
+	}
+
+	private void ownership(TestRouter router) {
+		Map<VmId, DomainId> views = new HashMap<>();
+		for (int index = 0; index < ROUTERS; index++) {
+			if (this.random.nextInt(4) > 0) {
+				views.put(new VmId("vm-" + index), new DomainId("a"));
+			}
+		}
+		router.handle(new OwnershipChanged(new Ownership(router.vm, new DomainId("a"), views)), this.nowMillis);
+	}
+
+	private void deliver(int index, int percent) {
+		for (SendPeer send : this.routers[index].take(SendPeer.class)) {
+			int receiver = Integer.parseInt(send.peer().value().substring(3));
+			if (this.random.nextInt(100) < percent) {
+				this.routers[receiver].handle(new PeerMessageReceived(new VmId("vm-" + index), send.message()),
+						this.nowMillis);
+			}
+		}
 	}
 
 	private void read(TestRouter router, int index) {
@@ -188,10 +213,6 @@
 		this.routers[index].handle(
 				new PeerMessageReceived(new VmId("vm-" + other), new Gossip(List.of(), revision, 0, List.of())),
 				this.nowMillis);
-		for (SendPeer ask : this.routers[index].take(SendPeer.class)) {
-			this.routers[other].handle(new PeerMessageReceived(new VmId("vm-" + index), ask.message()), this.nowMillis);
-			this.routers[other].relayTo(this.routers[index], "vm-" + other, this.nowMillis);
-		}
 	}
 
 	private void settle(TestRouter router) {
@@ -201,12 +222,17 @@
 	private void heal() {
 		this.late.forEach((append) -> this.log.append(append.records(), this.nowMillis));
 		keepRecords();
-		this.nowMillis += 3_000;
-		for (TestRouter router : this.routers) {
-			router.take(AppendLog.class);
-			router.tick(this.nowMillis);
-			router.read(Integer.MAX_VALUE / 2, this.nowMillis);
-			settle(router);
+		for (int round = 0; round < 20 * ROUTERS; round++) {
+			this.nowMillis += 200;
+			int index = round % ROUTERS;
+			this.routers[index].take(AppendLog.class);
+			this.routers[index].tick(this.nowMillis);
+			this.routers[index].read(Integer.MAX_VALUE / 2, this.nowMillis);
+			gossip(index);
+			settle(this.routers[index]);
+			for (int sender = 0; sender < ROUTERS; sender++) {
+				deliver(sender, 100);
+			}
 		}
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/FakeLog.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/FakeLog.java
@@ -44,6 +44,14 @@
 			.orElse(1);
 	}
 
+	long newestChange() {
+		return this.records.stream()
+			.filter((record) -> record.type().equals(RecordType.CHANGE))
+			.mapToLong(LogRecord::offset)
+			.max()
+			.orElse(0);
+	}
+
 	private static long offsetAfter(LogRecord checkpoint) {
 		try {
 			return RecordCodec.decodeState(checkpoint.body()).nextOffset();
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/TestRouter.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/TestRouter.java
@@ -31,6 +31,8 @@
 
 	final CatalogueHandler handler;
 
+	final VmId vm;
+
 	final List<NodeAction> actions = new ArrayList<>();
 
 	private final FakeLog log;
@@ -40,7 +42,8 @@
 	private long revision;
 
 	TestRouter(String vm, FakeLog log) {
-		this.handler = new CatalogueHandler(new VmId(vm), SETTINGS);
+		this.vm = new VmId(vm);
+		this.handler = new CatalogueHandler(this.vm, SETTINGS);
 		this.log = log;
 	}
 
@@ -64,6 +67,10 @@
 		handle(new Tick(), nowMillis);
 	}
 
+	boolean isReading() {
+		return this.followFrom > 0;
+	}
+
 	boolean read(int limit, long nowMillis) {
 		if (this.followFrom == 0) {
 			return false;
