--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueState.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueState.java
@@ -73,7 +73,7 @@
 		}
 		ChangeVerdict verdict = winner.isPresent() ? ChangeVerdict.LOST_RACE : ChangeVerdict.ACCEPTED;
 		HistoryRow row = new HistoryRow(offset, change.changeId(), change.author(), appendedAtMillis, verdict,
-				winner.orElse(0L), change.delta().summary());
+				winner.orElse(0L), change.delta().summary(), change.contentHash());
 		return new CatalogueState(offset + 1, next.revision, next.organisations, next.targets, next.entries,
 				appended(row));
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/HistoryRow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/HistoryRow.java
@@ -10,8 +10,9 @@
  * @param verdict what became of it
  * @param winnerRevision with {@code LOST_RACE}: the revision that came first, else 0
  * @param summary the change in a few words
+ * @param contentHash hash of the change as its author wrote it
  */
 public record HistoryRow(long revision, String changeId, String author, long appendedAtMillis, ChangeVerdict verdict,
-		long winnerRevision, String summary) {
+		long winnerRevision, String summary, long contentHash) {
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishTable.java
@@ -14,9 +14,11 @@
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.PublishEnded;
 import org.mustardlane.core.event.PublishRequested;
+import org.mustardlane.core.model.catalogue.CatalogueChange;
 import org.mustardlane.core.model.catalogue.Finding;
 import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.catalogue.PublishVerdict;
+import org.mustardlane.core.model.common.Rendezvous;
 import org.mustardlane.core.model.log.RecordBody;
 import org.mustardlane.core.model.log.StreamName;
 
@@ -49,17 +51,21 @@
 	 * @return the answer, where it needs no look at the log
 	 */
 	List<NodeAction> request(PublishRequested request) {
-		String changeId = request.change().changeId();
-		if (this.pending.containsKey(changeId)) {
-			this.pending.computeIfPresent(changeId, (id, waiting) -> waiting.until(request.deadlineMillis()));
+		CatalogueChange change = request.change();
+		List<Finding> findings = ChangeRules.check(change);
+		if (!findings.isEmpty()) {
+			return List.of(new PublishEnded(change.changeId(), rejected(findings)));
+		}
+		if (this.pending.containsKey(change.changeId())) {
+			this.pending.computeIfPresent(change.changeId(), (id, waiting) -> waiting.until(request.deadlineMillis()));
 			return List.of();
 		}
-		ParsedChange parsed = ChangeParser.parse(request.change().yaml());
+		ParsedChange parsed = ChangeParser.parse(change.yaml());
 		if (!parsed.findings().isEmpty()) {
-			return List.of(new PublishEnded(changeId, rejected(parsed.findings())));
+			return List.of(new PublishEnded(change.changeId(), rejected(parsed.findings())));
 		}
-		this.pending.put(changeId, new PendingPublish(changeId, request.change().author(), parsed,
-				request.deadlineMillis(), Stage.CHECKING, 0, false));
+		this.pending.put(change.changeId(), new PendingPublish(change.changeId(), change.author(),
+				Rendezvous.hash(change.yaml()), parsed, request.deadlineMillis(), Stage.CHECKING, 0, false));
 		return List.of();
 	}
 
@@ -107,7 +113,7 @@
 	private Optional<NodeAction> advance(PendingPublish waiting, CatalogueState state, LogView view, long nowMillis) {
 		Optional<HistoryRow> row = state.find(waiting.changeId());
 		if (row.isPresent()) {
-			return Optional.of(end(waiting.changeId(), resultOf(row.get())));
+			return Optional.of(end(waiting.changeId(), resultOf(row.get(), waiting)));
 		}
 		if (nowMillis >= waiting.deadlineMillis()) {
 			PublishVerdict verdict = isUntouched(waiting) ? PublishVerdict.UNAVAILABLE : PublishVerdict.UNKNOWN;
@@ -159,7 +165,7 @@
 
 	private NodeAction append(PendingPublish waiting) {
 		this.pending.put(waiting.changeId(), waiting.at(Stage.APPENDING, 0));
-		PublishedChange change = new PublishedChange(waiting.changeId(), waiting.author(),
+		PublishedChange change = new PublishedChange(waiting.changeId(), waiting.author(), waiting.contentHash(),
 				waiting.parsed().delta().orElseThrow());
 		RecordBody body = new RecordBody(RecordType.CHANGE, RecordCodec.encode(change));
 		return new AppendLog(StreamName.CATALOGUE, APPEND_PREFIX + waiting.changeId(), List.of(body));
@@ -170,7 +176,10 @@
 		return new PublishEnded(changeId, result);
 	}
 
-	private static PublishResult resultOf(HistoryRow row) {
+	private static PublishResult resultOf(HistoryRow row, PendingPublish waiting) {
+		if (row.contentHash() != waiting.contentHash()) {
+			return rejected(List.of(ChangeRules.reused(row)));
+		}
 		if (row.verdict() == ChangeVerdict.ACCEPTED) {
 			return new PublishResult(PublishVerdict.ACCEPTED, row.revision(), 0, List.of());
 		}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ReferenceRules.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/ReferenceRules.java
@@ -1,6 +1,8 @@
 package org.mustardlane.core.catalogue;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -24,7 +26,7 @@
 	/**
 	 * Checks a whole catalogue.
 	 * @param state the catalogue
-	 * @return what is wrong
+	 * @return what is wrong, in the order of the items
 	 */
 	static List<Violation> check(CatalogueState state) {
 		Map<PoolId, List<Target>> pools = state.targets()
@@ -35,6 +37,7 @@
 		List<Violation> violations = new ArrayList<>();
 		state.entries().values().forEach((entry) -> checkEntry(state, pools, entry.item(), violations));
 		pools.forEach((pool, targets) -> checkPool(pool, targets, violations));
+		violations.sort(Comparator.comparing((violation) -> violation.item() + "." + violation.field()));
 		return violations;
 	}
 
@@ -56,12 +59,15 @@
 	}
 
 	private static void checkPool(PoolId pool, List<Target> targets, List<Violation> violations) {
-		TargetKind kind = targets.get(0).kind();
-		targets.stream().filter((target) -> target.kind() != kind).forEach((target) -> {
+		if (targets.stream().map(Target::kind).distinct().count() == 1) {
+			return;
+		}
+		Target first = Collections.min(targets, Comparator.comparing(Target::id));
+		targets.stream().filter((target) -> target.kind() != first.kind()).forEach((target) -> {
 			ItemKey key = new ItemKey(ItemKind.TARGET, target.id().value());
 			violations.add(new Violation(key, "kind",
-					"pool %s holds %s as %s; a pool is of one kind".formatted(pool, targets.get(0).id(), kind),
-					new ItemKey(ItemKind.TARGET, targets.get(0).id().value())));
+					"pool %s holds %s as %s; a pool is of one kind".formatted(pool, first.id(), first.kind()),
+					new ItemKey(ItemKind.TARGET, first.id().value())));
 		});
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/StoredState.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/StoredState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -23,8 +24,12 @@
 		List<Versioned<Target>> targets, List<Versioned<CatalogueEntry>> entries, List<HistoryRow> history) {
 
 	static StoredState of(CatalogueState state) {
-		return new StoredState(state.nextOffset(), state.revision(), List.copyOf(state.organisations().values()),
-				List.copyOf(state.targets().values()), List.copyOf(state.entries().values()), state.history());
+		return new StoredState(state.nextOffset(), state.revision(), sorted(state.organisations()),
+				sorted(state.targets()), sorted(state.entries()), state.history());
+	}
+
+	private static <K, V> List<V> sorted(Map<K, V> items) {
+		return List.copyOf(new TreeMap<>(items).values());
 	}
 
 	CatalogueState toState() {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
@@ -169,6 +169,16 @@
 		assertEquals(this.two.take(AppendLog.class), List.of());
 	}
 
+	@Test
+	public void rejectsAnotherChangeUnderAUsedChangeId() {
+		publishFirst();
+		this.two.publish("c1", ChangeSamples.entry("e2", 0, 100), DEADLINE, 4);
+		assertEquals(this.two.results().get(0).findings().get(0).message(),
+				"was used for another change, at revision 1 by ann");
+		this.two.publish("c 1\n", ChangeSamples.FIRST, DEADLINE, 4);
+		assertEquals(this.two.results().get(0).verdict(), PublishVerdict.REJECTED);
+	}
+
 	@Test
 	public void rejectsReferencesThatDoNotHoldAfterReadingAgain() {
 		this.one.publish("c1", ChangeSamples.entry("e1", 0, 100), DEADLINE, 1);
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueReadingTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueReadingTests.java
@@ -196,7 +196,7 @@
 
 	private static RecordBody other(LogRecord first) {
 		CatalogueDelta delta = ChangeParser.parse(ChangeSamples.entry("other", 0, 100)).delta().orElseThrow();
-		return new RecordBody(first.type(), RecordCodec.encode(new PublishedChange("other", "bob", delta)));
+		return new RecordBody(first.type(), RecordCodec.encode(new PublishedChange("other", "bob", 0, delta)));
 	}
 
 	@Test
