--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/PublishTable.java
@@ -31,6 +31,8 @@
  */
 final class PublishTable {
 
+	private static final int MAX_PENDING = 256;
+
 	private static final String APPEND_PREFIX = "catalogue-change-";
 
 	private final Map<String, PendingPublish> pending = new LinkedHashMap<>();
@@ -60,6 +62,9 @@
 			this.pending.computeIfPresent(change.changeId(), (id, waiting) -> waiting.until(request.deadlineMillis()));
 			return List.of();
 		}
+		if (this.pending.size() >= MAX_PENDING) {
+			return List.of(new PublishEnded(change.changeId(), result(PublishVerdict.UNAVAILABLE)));
+		}
 		ParsedChange parsed = ChangeParser.parse(change.yaml());
 		if (!parsed.findings().isEmpty()) {
 			return List.of(new PublishEnded(change.changeId(), rejected(parsed.findings())));
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueRecoveryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueRecoveryTests.java
@@ -16,6 +16,7 @@
 import org.mustardlane.core.message.CatalogueRelay;
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.message.Gossip;
+import org.mustardlane.core.model.catalogue.PublishVerdict;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.model.log.LogRecord;
@@ -134,6 +135,22 @@
 		assertAlike(returning, this.writer);
 	}
 
+	@Test
+	public void knowsThatItKnowsNothingWhereAllRecordsAreGone() {
+		this.log.cutBefore(this.log.end());
+		TestRouter late = reading("vm-2");
+		late.publish("c2", ChangeSamples.entry("e2", 0, 100), this.nowMillis + 200_000, this.nowMillis);
+		late.read(1_000, this.nowMillis);
+		assertEquals(late.results(), List.of());
+		this.nowMillis += 60_000;
+		checkpoint();
+		late.read(1_000, this.nowMillis);
+		assertAlike(late, this.writer);
+		late.append(AppendResult.APPENDED, true, this.nowMillis);
+		late.read(1_000, this.nowMillis);
+		assertEquals(late.results().get(0).verdict(), PublishVerdict.ACCEPTED);
+	}
+
 	@Test
 	public void appendsACheckpointInTimeEvenWithoutChanges() {
 		this.writer.tick(this.nowMillis + 59_999);
