Restore a lost checkpoint at once, and let three routers at most append one

After a long outage every router was overdue with its own checkpoint: 30 of 30 would have appended (the rank makes it 3, CatalogueRecoveryTests.threeRoutersAtMostAppendACheckpointAfterALongOutage).

--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -141,6 +141,7 @@
 
 	private void recordsRead(LogRecordsRead read, long nowMillis, List<NodeAction> actions) {
 		acceptRecords(read.records(), nowMillis, actions);
+		this.log.retainedFrom(read.firstRetainedOffset());
 		if (read.atEnd() && this.log.state().nextOffset() >= read.nextOffset()) {
 			this.view = LogView.FRESH;
 			advancePublishes(nowMillis, actions);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueLog.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueLog.java
@@ -38,6 +38,8 @@
 
 	private long oldestNeededMillis;
 
+	private long firstRetainedOffset = 1;
+
 	/**
 	 * Takes records from the log or from a peer.
 	 * @param records the records, in any order
@@ -219,6 +221,23 @@
 				.of(new LogRecord(0, this.oldestNeededMillis, RecordType.CHECKPOINT, RecordCodec.encode(this.state))));
 	}
 
+	/**
+	 * Takes how far retention has cut the log.
+	 * @param offset oldest offset that the log still holds
+	 */
+	void retainedFrom(long offset) {
+		this.firstRetainedOffset = offset;
+	}
+
+	/**
+	 * Returns whether the log still holds the newest checkpoint, or without one all
+	 * records, so that a router without a state can start from it.
+	 * @return whether it does
+	 */
+	boolean isRecoverable() {
+		return this.firstRetainedOffset <= Math.max(1, this.checkpointOffset);
+	}
+
 	/**
 	 * Returns how many records stand after the newest checkpoint.
 	 * @return the number
--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CheckpointSchedule.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CheckpointSchedule.java
@@ -14,9 +14,10 @@
  * Decides when this router appends a checkpoint.
  *
  * <p>
- * The router that owns the duty appends when a checkpoint is due, every other router only
- * when it is long overdue; a second checkpoint is harmless. Guarded by the lock of the
- * handler.
+ * The router that ranks first appends when a checkpoint is due, the next two only when it
+ * is overdue, so that a long outage does not end in a checkpoint of every router. One is
+ * due at once where the log has lost the newest. A second checkpoint is harmless. Guarded
+ * by the lock of the handler.
  */
 final class CheckpointSchedule {
 
@@ -24,18 +25,24 @@
 
 	private static final long OWNER_KEY = Rendezvous.hash("catalogue-checkpoint");
 
-	private static final int OVERDUE_FACTOR = 2;
+	private static final int CANDIDATES = 3;
+
+	private static final int RANK_WHILE_FLEET_IS_UNKNOWN = 1;
 
 	private static final long ATTEMPT_INTERVAL_MILLIS = 10_000;
 
+	private static final long LOST_CHECKPOINT_GRACE_MILLIS = 2_000;
+
 	private final VmId self;
 
 	private final CatalogueSettings settings;
 
-	private boolean owner;
+	private int rank = RANK_WHILE_FLEET_IS_UNKNOWN;
 
 	private long nextAttemptMillis;
 
+	private long lostSinceMillis = Long.MAX_VALUE;
+
 	private long attempts;
 
 	CheckpointSchedule(VmId self, CatalogueSettings settings) {
@@ -44,7 +51,7 @@
 	}
 
 	void ownershipChanged(Ownership ownership) {
-		this.owner = Rendezvous.first(OWNER_KEY, ownership.routers().keySet()).filter(this.self::equals).isPresent();
+		this.rank = Rendezvous.rank(OWNER_KEY, ownership.routers().keySet()).indexOf(this.self);
 	}
 
 	/**
@@ -54,6 +61,7 @@
 	 * @return the append
 	 */
 	Optional<AppendLog> due(CatalogueLog log, long nowMillis) {
+		this.lostSinceMillis = log.isRecoverable() ? Long.MAX_VALUE : Math.min(this.lostSinceMillis, nowMillis);
 		if (nowMillis < this.nextAttemptMillis || !isDue(log, nowMillis)) {
 			return Optional.empty();
 		}
@@ -64,12 +72,15 @@
 	}
 
 	private boolean isDue(CatalogueLog log, long nowMillis) {
-		int factor = this.owner ? 1 : OVERDUE_FACTOR;
-		if (log.state().nextOffset() == 1) {
+		if (this.rank < 0 || this.rank >= CANDIDATES || log.state().nextOffset() == 1) {
 			return false;
 		}
+		if (nowMillis - this.rank * LOST_CHECKPOINT_GRACE_MILLIS >= this.lostSinceMillis) {
+			return true;
+		}
+		long factor = this.rank + 1L;
 		long ageMillis = nowMillis - log.oldestNeededMillis();
-		return log.recordsSinceCheckpoint() >= (long) factor * this.settings.checkpointRecords()
+		return log.recordsSinceCheckpoint() >= factor * this.settings.checkpointRecords()
 				|| ageMillis >= factor * this.settings.checkpointIntervalMillis();
 	}
 
