--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
@@ -0,0 +1,170 @@
+package org.mustardlane.core.admission;
+
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.Rendezvous;
+import org.mustardlane.core.model.target.LoadReport;
+import org.mustardlane.core.target.TargetHealth;
+
+/**
+ * The slots of one target, as the owner of its shard counts them.
+ *
+ * <p>
+ * Guarded by the lock of the handler.
+ */
+final class TargetSlots {
+
+	private static final int UNREPORTED = -1;
+
+	private final Target target;
+
+	private final long nameHash;
+
+	private final int[] grantedByClass = new int[ServiceClass.values().length];
+
+	private final TargetHealth health = new TargetHealth();
+
+	private int granted;
+
+	private double releasesPerMilli;
+
+	private boolean listedLeaving;
+
+	private boolean reportedLeaving;
+
+	private long warmUpEndMillis;
+
+	private int reportedBusy = UNREPORTED;
+
+	private int grantedInWarmUp;
+
+	private long nextPollMillis;
+
+	TargetSlots(Target target) {
+		this.target = target;
+		this.nameHash = Rendezvous.hash(target.id().value());
+	}
+
+	Target target() {
+		return this.target;
+	}
+
+	long nameHash() {
+		return this.nameHash;
+	}
+
+	int granted() {
+		return this.granted;
+	}
+
+	int granted(ServiceClass serviceClass) {
+		return this.grantedByClass[serviceClass.ordinal()];
+	}
+
+	TargetHealth health() {
+		return this.health;
+	}
+
+	boolean isLeaving() {
+		return this.listedLeaving || this.reportedLeaving;
+	}
+
+	/**
+	 * Tells whether the target counts as one that takes new work.
+	 * @return false where the target is leaving or eased out
+	 */
+	boolean isOpen() {
+		return !isLeaving() && this.health.isOpen();
+	}
+
+	/**
+	 * Returns the slots that may be in use: the grants, and during the warm-up of a new
+	 * owner also what the target reports.
+	 * @param nowMillis the time
+	 * @return the number of slots; all of them where nothing is known yet
+	 */
+	int used(long nowMillis) {
+		if (nowMillis >= this.warmUpEndMillis) {
+			return this.granted;
+		}
+		if (this.reportedBusy == UNREPORTED) {
+			return Integer.MAX_VALUE;
+		}
+		return Math.max(this.granted, this.reportedBusy + this.grantedInWarmUp);
+	}
+
+	/**
+	 * Returns the load of the target for the mean of the pool.
+	 * @param nowMillis the time
+	 * @return the grants, or during the warm-up what is reported where that is more
+	 */
+	int load(long nowMillis) {
+		boolean unknown = nowMillis >= this.warmUpEndMillis || this.reportedBusy == UNREPORTED;
+		return unknown ? this.granted : used(nowMillis);
+	}
+
+	long warmUpEndMillis() {
+		return this.warmUpEndMillis;
+	}
+
+	void startWarmUp(long endMillis, long firstPollMillis) {
+		this.warmUpEndMillis = endMillis;
+		this.reportedBusy = UNREPORTED;
+		this.grantedInWarmUp = 0;
+		this.nextPollMillis = firstPollMillis;
+	}
+
+	void addGrant(Grant grant) {
+		count(grant, 1);
+		this.grantedInWarmUp++;
+		this.health.granted(grant.grantedAtMillis());
+	}
+
+	void adoptGrant(Grant grant) {
+		count(grant, 1);
+	}
+
+	void removeGrant(Grant grant) {
+		count(grant, -1);
+	}
+
+	private void count(Grant grant, int change) {
+		this.granted += change;
+		this.grantedByClass[grant.serviceClass().ordinal()] += change;
+		this.releasesPerMilli += (grant.workMillis() > 0) ? (double) change / grant.workMillis() : 0;
+	}
+
+	/**
+	 * Returns the mean time until the next grant is given back.
+	 * @return milliseconds
+	 */
+	double expectedReleaseMillis() {
+		return (this.releasesPerMilli > 0) ? 1 / this.releasesPerMilli : Double.MAX_VALUE;
+	}
+
+	/**
+	 * Lets time pass for the health of the target.
+	 * @param millis the time that has passed
+	 */
+	void elapse(long millis) {
+		this.health.elapse(this.releasesPerMilli * millis, this.granted);
+	}
+
+	void report(LoadReport report) {
+		this.reportedLeaving = report.leaving();
+		this.reportedBusy = report.running() + report.waiting();
+	}
+
+	void listLeaving(boolean leaving) {
+		this.listedLeaving = leaving;
+	}
+
+	boolean takePollDue(long nowMillis, int intervalMillis) {
+		if (nowMillis < this.nextPollMillis) {
+			return false;
+		}
+		this.nextPollMillis = Math.max(this.nextPollMillis, nowMillis - intervalMillis) + intervalMillis;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
@@ -0,0 +1,69 @@
+package org.mustardlane.core.target;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Compares the targets of a shard, eases out the slow and the failing ones and lets them
+ * back in.
+ *
+ * <p>
+ * A target is slow where its median first token or gap is far above what is usual in the
+ * shard, or where it is silent. At most half of the targets are out for slowness. Where
+ * all fail, all are tried. Not thread-safe.
+ */
+public final class HealthReview {
+
+	private final UsualTime firstToken = new UsualTime(TargetHealth::firstTokens);
+
+	private final UsualTime tokenGap = new UsualTime(TargetHealth::tokenGaps);
+
+	/**
+	 * Reviews the targets; to be called at a steady pace.
+	 * @param targets the targets that are not leaving
+	 * @return whether a target was opened or closed
+	 */
+	public boolean review(Collection<TargetHealth> targets) {
+		long openBefore = targets.stream().filter(TargetHealth::isOpen).count();
+		if (!targets.isEmpty() && targets.stream().allMatch(TargetHealth::isFailing)) {
+			targets.forEach(TargetHealth::restore);
+		}
+		else {
+			this.firstToken.learn(targets);
+			this.tokenGap.learn(targets);
+			ease(targets);
+		}
+		return targets.stream().filter(TargetHealth::isOpen).count() != openBefore;
+	}
+
+	private void ease(Collection<TargetHealth> targets) {
+		List<TargetHealth> slowestFirst = targets.stream()
+			.filter((target) -> !target.isFailing())
+			.sorted(Comparator.comparingDouble(this::slowness).reversed())
+			.toList();
+		targets.stream().filter(TargetHealth::isFailing).forEach(TargetHealth::easeOut);
+		int room = targets.size() / 2;
+		for (TargetHealth target : slowestFirst) {
+			if (room > 0 && isSlow(target)) {
+				room--;
+				target.easeOut();
+			}
+			else if (target.isOpen() || target.hasSamples()) {
+				target.easeIn();
+			}
+		}
+	}
+
+	private boolean isSlow(TargetHealth target) {
+		return target.isSilent() || (target.hasSamples() && slowness(target) > 1);
+	}
+
+	private double slowness(TargetHealth target) {
+		if (target.isSilent()) {
+			return Double.MAX_VALUE;
+		}
+		return Math.max(this.firstToken.excess(target), this.tokenGap.excess(target));
+	}
+
+}
