Let readers that joined late agree with those that read everything

Change: only the first statement of a claim is carried, releases are kept for two windows, the holder of a key follows from the log alone.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
@@ -249,11 +249,16 @@
 		if (!isReady(nowMillis)) {
 			return waitForHistory(pending, nowMillis);
 		}
-		return this.window.holder(pending.ask().claimKey(), nowMillis)
+		return this.window.holder(pending.ask().claimKey())
+			.filter((holder) -> isOwn(pending, holder) || !holder.isExpired(this.settings.windowMillis(), nowMillis))
 			.map((holder) -> heldKey(pending, holder, nowMillis))
 			.orElseGet(() -> freeKey(pending, nowMillis));
 	}
 
+	private static boolean isOwn(PendingClaim pending, LoggedFact<ClaimMade> holder) {
+		return holder.fact().attemptId().equals(pending.ask().attemptId());
+	}
+
 	private boolean isDead(String attemptId) {
 		return this.appender.isReleasing(attemptId) || this.window.isReleased(attemptId);
 	}
@@ -279,7 +284,7 @@
 
 	private Optional<ClaimAnswer> heldKey(PendingClaim pending, LoggedFact<ClaimMade> holder, long nowMillis) {
 		ClaimMade claim = holder.fact();
-		if (claim.attemptId().equals(pending.ask().attemptId())) {
+		if (isOwn(pending, holder)) {
 			return Optional.of(this.answers.held(pending.ask(), holder));
 		}
 		boolean sameBody = Arrays.equals(claim.bodyDigest(), pending.ask().bodyDigest());
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
@@ -1,11 +1,7 @@
 package org.mustardlane.core.claim;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -26,14 +22,15 @@
 
 	private final Map<String, KeyClaims> keys = new HashMap<>();
 
-	private final Map<String, LoggedFact<ClaimReleased>> releases = new HashMap<>();
-
-	private final StoredAnswers answers;
+	private final StatedFacts<ClaimMade> claims;
 
 	/**
-	 * Claims and releases, in the order of the records that stated them last.
+	 * Kept for two windows: a claim that follows its release within one window counts for
+	 * nothing during its own.
 	 */
-	private final LinkedHashMap<String, Statement> statements = new LinkedHashMap<>();
+	private final StatedFacts<ClaimReleased> releases;
+
+	private final StoredAnswers answers;
 
 	private final LogCoverage coverage = new LogCoverage();
 
@@ -45,6 +42,8 @@
 	 */
 	ClaimWindow(ClaimSettings settings) {
 		this.windowMillis = settings.windowMillis();
+		this.claims = new StatedFacts<>(settings.windowMillis());
+		this.releases = new StatedFacts<>(2 * settings.windowMillis());
 		this.answers = new StoredAnswers(settings);
 	}
 
@@ -67,7 +66,6 @@
 		}
 		finally {
 			dropExpired();
-			this.answers.dropExpired(this.logMillis);
 		}
 	}
 
@@ -100,21 +98,33 @@
 	private void claim(LogRecord record, LoggedFact<ClaimMade> claim) {
 		ClaimMade fact = claim.fact();
 		boolean late = claim.appendedAtMillis() > fact.voidAfterMillis();
-		if (late || this.releases.containsKey(fact.attemptId()) || claim.isExpired(this.windowMillis, this.logMillis)) {
+		if (late || isReleased(claim) || claim.isExpired(this.windowMillis, this.logMillis)) {
 			return;
 		}
-		KeyClaims claims = this.keys.computeIfAbsent(fact.claimKey(), (key) -> new KeyClaims());
-		claims.removeExpired(this.windowMillis, this.logMillis);
-		claims.add(claim);
-		claims.of(fact.attemptId()).ifPresent((oldest) -> state(record, oldest));
+		KeyClaims keyClaims = this.keys.computeIfAbsent(fact.claimKey(), (key) -> new KeyClaims());
+		keyClaims.removeExpired(this.windowMillis, this.logMillis);
+		keyClaims.add(claim);
+		keyClaims.of(fact.attemptId())
+			.filter(claim::isSameStatement)
+			.ifPresent((known) -> this.claims.state(record, known));
+	}
+
+	private boolean isReleased(LoggedFact<ClaimMade> claim) {
+		return this.releases.find(claim.fact().attemptId())
+			.filter((release) -> !release.isExpired(this.windowMillis, claim.appendedAtMillis()))
+			.isPresent();
 	}
 
 	private void release(LogRecord record, LoggedFact<ClaimReleased> release) {
 		String attemptId = release.fact().attemptId();
 		removeClaim(release.fact().claimKey(), attemptId);
-		this.statements.remove(name(ClaimMade.class, attemptId));
-		this.releases.putIfAbsent(attemptId, release);
-		state(record, this.releases.get(attemptId));
+		this.claims.remove(attemptId);
+		boolean superseded = this.releases.find(attemptId)
+			.filter((known) -> known.offset() > release.offset())
+			.isPresent();
+		if (!superseded) {
+			this.releases.state(record, release);
+		}
 	}
 
 	private void removeClaim(String claimKey, String attemptId) {
@@ -128,49 +138,25 @@
 		}
 	}
 
-	private void state(LogRecord record, LoggedFact<?> fact) {
-		String name = name(fact.fact().getClass(), fact.fact().attemptId());
-		this.statements.remove(name);
-		this.statements.put(name, new Statement(record.offset(), record.appendedAtMillis(), fact));
-	}
-
-	private static String name(Class<? extends ClaimFact> kind, String attemptId) {
-		return kind.getSimpleName() + attemptId;
-	}
-
 	private void dropExpired() {
-		Iterator<Statement> oldest = this.statements.values().iterator();
-		while (oldest.hasNext()) {
-			LoggedFact<?> fact = oldest.next().fact();
-			if (!fact.isExpired(this.windowMillis, this.logMillis)) {
-				return;
-			}
-			oldest.remove();
-			forget(fact.fact());
-		}
-	}
-
-	private void forget(ClaimFact fact) {
-		if (fact instanceof ClaimMade) {
-			removeClaim(fact.claimKey(), fact.attemptId());
-		}
-		else {
-			this.releases.remove(fact.attemptId());
-		}
+		this.claims.dropExpired(this.logMillis, (claim) -> removeClaim(claim.claimKey(), claim.attemptId()));
+		this.releases.dropExpired(this.logMillis, (release) -> {
+		});
+		this.answers.dropExpired(this.logMillis);
 	}
 
 	/**
-	 * Returns the claim that holds a key.
+	 * Returns the claim that holds a key, by the offsets and times of the log alone.
 	 * @param claimKey the key
-	 * @param nowMillis the time; a claim that does not count any more holds nothing
 	 * @return the oldest claim that counts
 	 */
-	Optional<LoggedFact<ClaimMade>> holder(String claimKey, long nowMillis) {
+	Optional<LoggedFact<ClaimMade>> holder(String claimKey) {
 		KeyClaims claims = this.keys.get(claimKey);
 		if (claims == null) {
 			return Optional.empty();
 		}
-		return claims.first().filter((claim) -> !claim.isExpired(this.windowMillis, nowMillis));
+		claims.removeExpired(this.windowMillis, this.logMillis);
+		return claims.first();
 	}
 
 	/**
@@ -179,7 +165,7 @@
 	 * @return whether the claim is dead for good
 	 */
 	boolean isReleased(String attemptId) {
-		return this.releases.containsKey(attemptId);
+		return this.releases.find(attemptId).isPresent();
 	}
 
 	/**
@@ -216,7 +202,7 @@
 	 * @return claims and releases
 	 */
 	int size() {
-		return this.statements.size();
+		return this.claims.size() + this.releases.size();
 	}
 
 	/**
@@ -224,68 +210,22 @@
 	 * @return the time, or the largest long where there is none
 	 */
 	long oldestStatementMillis() {
-		Iterator<Statement> oldest = this.statements.values().iterator();
-		return oldest.hasNext() ? oldest.next().statedAtMillis() : Long.MAX_VALUE;
+		return Math.min(this.claims.oldestMillis(), this.releases.oldestMillis());
 	}
 
 	/**
 	 * Gathers the facts that retention would cut first.
 	 * @param statedBeforeMillis take facts that were last stated before this time
-	 * @param limit most facts
+	 * @param limit most facts of each kind
 	 * @return a checkpoint of these facts
 	 */
 	ClaimsCheckpoint checkpoint(long statedBeforeMillis, int limit) {
-		CheckpointParts parts = new CheckpointParts();
-		long through = this.coverage.nextOffset() - 1;
-		for (Statement statement : this.statements.values()) {
-			if (parts.size() >= limit || statement.statedAtMillis() >= statedBeforeMillis) {
-				through = statement.statedOffset() - 1;
-				break;
-			}
-			if (!statement.fact().isExpired(this.windowMillis, this.logMillis)) {
-				parts.add(statement.fact());
-			}
-		}
-		return parts.through(through);
-	}
-
-	/**
-	 * A fact and the record that stated it last.
-	 *
-	 * @param statedOffset offset of the record
-	 * @param statedAtMillis time of the record
-	 * @param fact the fact
-	 */
-	private record Statement(long statedOffset, long statedAtMillis, LoggedFact<?> fact) {
-
-	}
-
-	/**
-	 * Sorts facts by their kind.
-	 */
-	private static final class CheckpointParts {
-
-		private final List<LoggedFact<ClaimMade>> claims = new ArrayList<>();
-
-		private final List<LoggedFact<ClaimReleased>> releases = new ArrayList<>();
-
-		private int size() {
-			return this.claims.size() + this.releases.size();
-		}
-
-		private void add(LoggedFact<?> fact) {
-			if (fact.fact() instanceof ClaimMade claim) {
-				this.claims.add(new LoggedFact<>(fact.offset(), fact.appendedAtMillis(), claim));
-			}
-			else if (fact.fact() instanceof ClaimReleased release) {
-				this.releases.add(new LoggedFact<>(fact.offset(), fact.appendedAtMillis(), release));
-			}
-		}
-
-		private ClaimsCheckpoint through(long offset) {
-			return new ClaimsCheckpoint(offset, this.claims, this.releases);
-		}
-
+		StatedFacts.Oldest<ClaimMade> oldestClaims = this.claims.oldest(statedBeforeMillis, limit, this.logMillis);
+		StatedFacts.Oldest<ClaimReleased> oldestReleases = this.releases.oldest(statedBeforeMillis, limit,
+				this.logMillis);
+		long statedThrough = Math.min(oldestClaims.throughOffset(), oldestReleases.throughOffset());
+		long throughOffset = Math.min(statedThrough, this.coverage.nextOffset() - 1);
+		return new ClaimsCheckpoint(throughOffset, oldestClaims.facts(), oldestReleases.facts());
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/LoggedFact.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/LoggedFact.java
@@ -10,6 +10,15 @@
  */
 record LoggedFact<F extends ClaimFact>(long offset, long appendedAtMillis, F fact) {
 
+	/**
+	 * Returns whether two facts come from one record, whether carried forward or not.
+	 * @param other the other fact
+	 * @return whether their first statements are the same
+	 */
+	boolean isSameStatement(LoggedFact<F> other) {
+		return this.offset == other.offset;
+	}
+
 	/**
 	 * Returns whether the fact counts no longer at a time.
 	 * @param windowMillis how long a fact counts
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
@@ -223,6 +223,20 @@
 		assertEquals(answers("first"), 1);
 	}
 
+	@Test
+	public void attemptThatWasRefusedStaysRefused() {
+		this.routers.readable = false;
+		ask(A, "first");
+		this.routers.pass(1_000);
+		this.routers.readable = true;
+		ask(A, "first");
+		this.routers.pass(300);
+		ask(A, "first");
+		this.routers.pass(1_000);
+		assertEquals(answers("first"), 3);
+		assertTrue(this.routers.answers.stream().allMatch((one) -> one.verdict() == ClaimVerdict.UNAVAILABLE));
+	}
+
 	@Test
 	public void outageWhileNewOwnerReadsIsTold() {
 		this.routers.readable = false;
@@ -246,6 +260,16 @@
 		claim(B, "third");
 	}
 
+	@Test
+	public void fastClockOfOwnerDoesNotEndClaim() {
+		claim(A, "first");
+		this.routers.pass(SETTINGS.windowMillis() - 2_000);
+		this.routers.skew(A, 3_000);
+		ask(A, "second");
+		this.routers.pass(1_000);
+		assertEquals(answer("second").verdict(), ClaimVerdict.UNAVAILABLE);
+	}
+
 	@Test
 	public void idlePartitionStaysUsable() {
 		claim(A, "first");
