--- a/mustardlane-core/src/main/java/org/mustardlane/core/event/NodeAction.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/event/NodeAction.java
@@ -5,6 +5,6 @@
  */
 public sealed interface NodeAction permits PublishEnded, StartAttempt, CancelAttempt, ForwardAttempt, FinishAnswer,
 		AbortAnswer, RefuseRequest, SendStoredAnswer, JoinAnswer, KeepAnswer, SendPeer, AppendLog, FollowStream,
-		UnfollowStream, PollTarget, RecordEvent, DrainFinished, RaiseEvent {
+		UnfollowStream, PollTarget, RecordEvent, DrainFinished, RaiseEvent, SendOrder {
 
 }
