--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/LogCoverage.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/LogCoverage.java
@@ -7,7 +7,7 @@
  * <p>
  * Not thread-safe.
  */
-final class LogCoverage {
+public final class LogCoverage {
 
 	private static final long NEVER = Long.MIN_VALUE;
 
@@ -26,7 +26,7 @@
 	 * @param offset its offset
 	 * @param appendedAtMillis its time
 	 */
-	void read(long offset, long appendedAtMillis) {
+	public void read(long offset, long appendedAtMillis) {
 		skipTo(offset);
 		this.nextOffset = offset + 1;
 		if (this.afterMissingMillis == NEVER) {
@@ -41,7 +41,7 @@
 	 * Notes that records before an offset are gone from the log.
 	 * @param firstRetainedOffset oldest offset that the log still holds
 	 */
-	void skipTo(long firstRetainedOffset) {
+	public void skipTo(long firstRetainedOffset) {
 		if (firstRetainedOffset > this.nextOffset) {
 			this.missingThrough = firstRetainedOffset - 1;
 			this.nextOffset = firstRetainedOffset;
@@ -54,7 +54,7 @@
 	 * @param throughOffset all that counts up to this offset was stated again after it
 	 * @param appendedAtMillis time of the checkpoint
 	 */
-	void carried(long throughOffset, long appendedAtMillis) {
+	public void carried(long throughOffset, long appendedAtMillis) {
 		this.carriedThrough = Math.max(this.carriedThrough, throughOffset);
 		this.lastCheckpointMillis = appendedAtMillis;
 	}
@@ -65,7 +65,7 @@
 	 * @return the time by the clock of the log; the smallest long without such claims,
 	 * the largest where the log shows no time yet
 	 */
-	long gapEndMillis(long windowMillis) {
+	public long gapEndMillis(long windowMillis) {
 		if (this.missingThrough <= this.carriedThrough) {
 			return Long.MIN_VALUE;
 		}
@@ -79,7 +79,7 @@
 	 * Returns the offset of the next record.
 	 * @return the offset after the last record that was read or is gone
 	 */
-	long nextOffset() {
+	public long nextOffset() {
 		return this.nextOffset;
 	}
 
@@ -87,7 +87,7 @@
 	 * Returns the highest offset of a checkpoint.
 	 * @return the offset, 0 without a checkpoint
 	 */
-	long carriedThrough() {
+	public long carriedThrough() {
 		return this.carriedThrough;
 	}
 
@@ -96,7 +96,7 @@
 	 * @return the time of the last checkpoint or of the first record, the smallest long
 	 * without one
 	 */
-	long lastCheckpointMillis() {
+	public long lastCheckpointMillis() {
 		return this.lastCheckpointMillis;
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
@@ -1,20 +1,67 @@
 package org.mustardlane.core.order;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
+import org.mustardlane.core.claim.LogCoverage;
+import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.EventHandler;
+import org.mustardlane.core.event.FollowStream;
+import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.OrderAnswered;
+import org.mustardlane.core.event.OrderRequested;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.RecordEvent;
+import org.mustardlane.core.event.TargetReported;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.event.UnfollowStream;
+import org.mustardlane.core.model.common.LockRank;
+import org.mustardlane.core.model.common.RankedLock;
+import org.mustardlane.core.model.common.Rendezvous;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.log.LogRecord;
+import org.mustardlane.core.model.log.StreamName;
+import org.mustardlane.core.model.membership.Ownership;
+import org.mustardlane.core.model.timeline.TimelineEvent;
 
 /**
  * Issues orders to engines under a lease.
+ *
+ * <p>
+ * One router, by rendezvous, seeks the lease; two that do so at once are harmless, as the
+ * order of the log decides. Every router can record a decision.
  */
 public final class OrderHandler implements EventHandler {
 
+	private static final long ISSUER_KEY = Rendezvous.hash("orders");
+
+	private static final int HYBRID_TIME_SHIFT = 16;
+
+	private final RankedLock lock = new RankedLock(LockRank.ORDERS);
+
 	private final VmId self;
 
-	private final long incarnationMillis;
+	private final OrderSettings settings;
+
+	private final OrderLog log;
+
+	private final OrderOutbox outbox;
+
+	private final PoolCapacity capacity;
+
+	private final OrderIssuer issuer;
+
+	private String domain = "";
+
+	private boolean candidate;
+
+	private boolean following;
+
+	private boolean endSeen;
 
 	/**
 	 * Creates the handler.
@@ -22,13 +69,122 @@
 	 * @param incarnationMillis start time of this process in milliseconds
 	 */
 	public OrderHandler(VmId self, long incarnationMillis) {
+		this(self, incarnationMillis, OrderSettings.DEFAULT);
+	}
+
+	/**
+	 * Creates the handler with settings.
+	 * @param self this router
+	 * @param incarnationMillis start time of this process in milliseconds
+	 * @param settings limits and times
+	 */
+	public OrderHandler(VmId self, long incarnationMillis, OrderSettings settings) {
+		String process = self + "/" + incarnationMillis;
 		this.self = self;
-		this.incarnationMillis = incarnationMillis;
+		this.settings = settings;
+		this.log = new OrderLog(settings);
+		this.outbox = new OrderOutbox(process + "/orders/", settings.retryMillis());
+		this.capacity = new PoolCapacity(settings);
+		this.issuer = new OrderIssuer(process, settings, this.log, this.outbox, this.capacity);
 	}
 
 	@Override
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
+		return this.lock.locked(() -> route(event, nowMillis));
+	}
+
+	private List<NodeAction> route(NodeEvent event, long nowMillis) {
+		if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.ORDERS)) {
+			return read(read, nowMillis);
+		}
+		if (event instanceof OwnershipChanged changed) {
+			return changeOwnership(changed.ownership());
+		}
+		if (event instanceof Tick) {
+			return tick(nowMillis);
+		}
+		note(event, nowMillis);
 		return List.of();
 	}
 
+	private void note(NodeEvent event, long nowMillis) {
+		if (event instanceof LogAppendEnded ended) {
+			this.outbox.ended(ended);
+		}
+		else if (event instanceof OrderRequested requested) {
+			long voidAfterMillis = nowMillis + this.settings.decisionMillis();
+			this.outbox.put("decision " + requested.order().decisionId(),
+					new OrderRecord.Decision(requested.order(), voidAfterMillis), voidAfterMillis);
+		}
+		else if (event instanceof OrderAnswered answered) {
+			this.issuer.answered(answered, nowMillis);
+		}
+		else if (event instanceof CatalogueChanged changed) {
+			this.capacity.catalogue(changed.snapshot());
+		}
+		else if (event instanceof TargetReported reported) {
+			this.capacity.reported(reported, nowMillis);
+		}
+	}
+
+	private List<NodeAction> changeOwnership(Ownership ownership) {
+		this.domain = ownership.selfDomain().value();
+		boolean chosen = Rendezvous.first(ISSUER_KEY, ownership.routers().keySet())
+			.filter(this.self::equals)
+			.isPresent();
+		this.candidate = chosen;
+		if (!chosen || this.following) {
+			return List.of();
+		}
+		this.following = true;
+		this.endSeen = false;
+		return List.of(follow());
+	}
+
+	private FollowStream follow() {
+		return new FollowStream(StreamName.ORDERS, this.log.coverage().nextOffset());
+	}
+
+	private List<NodeAction> read(LogRecordsRead read, long nowMillis) {
+		LogCoverage coverage = this.log.coverage();
+		coverage.skipTo(read.firstRetainedOffset());
+		if (!read.records().isEmpty() && read.records().get(0).offset() > coverage.nextOffset()) {
+			return List.of(follow());
+		}
+		List<NodeAction> actions = new ArrayList<>();
+		for (LogRecord record : read.records()) {
+			this.log.fold(record).ifPresent((problem) -> actions.add(skipped(problem, nowMillis)));
+		}
+		this.endSeen |= read.atEnd() && read.nextOffset() == coverage.nextOffset();
+		actions.addAll(this.issuer.afterRead(nowMillis));
+		return actions;
+	}
+
+	private RecordEvent skipped(String problem, long nowMillis) {
+		return new RecordEvent(new TimelineEvent(nowMillis << HYBRID_TIME_SHIFT, this.self.value(), this.domain,
+				"order-record-skipped", StreamName.ORDERS.value(), problem));
+	}
+
+	private List<NodeAction> tick(long nowMillis) {
+		List<NodeAction> actions = new ArrayList<>();
+		if (this.candidate && this.endSeen) {
+			this.issuer.seekLease(nowMillis);
+			if (isHistoryWhole(nowMillis)) {
+				actions.addAll(this.issuer.issue(nowMillis));
+			}
+		}
+		else if (!this.candidate && this.following && nowMillis >= this.issuer.validUntilMillis()) {
+			this.following = false;
+			actions.add(new UnfollowStream(StreamName.ORDERS));
+		}
+		Optional<NodeAction> append = this.outbox.flush(nowMillis);
+		append.ifPresent(actions::add);
+		return actions;
+	}
+
+	private boolean isHistoryWhole(long nowMillis) {
+		long gapEndMillis = this.log.coverage().gapEndMillis(this.settings.decisionMillis());
+		return gapEndMillis <= nowMillis - this.settings.clockMarginMillis();
+	}
+
 }
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderIssuer.java
@@ -0,0 +1,207 @@
+package org.mustardlane.core.order;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.OrderAnswered;
+import org.mustardlane.core.event.PollTarget;
+import org.mustardlane.core.event.SendOrder;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.order.EngineOrder;
+import org.mustardlane.core.model.order.OrderResult;
+
+/**
+ * Issues the waiting decisions while this router holds the lease.
+ *
+ * <p>
+ * A decision goes out only after its issue record has been read back as valid, and only
+ * while the lease lasts by the clock that asked for it. Not thread-safe.
+ */
+final class OrderIssuer {
+
+	private static final long POLL_GAP_MILLIS = 1_000;
+
+	private final String self;
+
+	private final OrderSettings settings;
+
+	private final OrderLog log;
+
+	private final OrderOutbox outbox;
+
+	private final PoolCapacity capacity;
+
+	private final Set<Long> seenIssues = new HashSet<>();
+
+	private long fencingNumber;
+
+	private long heldSinceMillis;
+
+	private long refusedFencingNumber;
+
+	private long nextPollMillis = Long.MIN_VALUE;
+
+	/**
+	 * Creates an issuer.
+	 * @param self names this process
+	 * @param settings limits and times
+	 * @param log the fold of the orders stream
+	 * @param outbox where records go
+	 * @param capacity the loads of the pools
+	 */
+	OrderIssuer(String self, OrderSettings settings, OrderLog log, OrderOutbox outbox, PoolCapacity capacity) {
+		this.self = self;
+		this.settings = settings;
+		this.log = log;
+		this.outbox = outbox;
+		this.capacity = capacity;
+	}
+
+	/**
+	 * Returns until when this router may send orders.
+	 * @return the time by the clock of this VM, 0 without a lease
+	 */
+	long validUntilMillis() {
+		return this.log.lease()
+			.filter((lease) -> lease.holder().equals(this.self))
+			.filter((lease) -> lease.fencingNumber() != this.refusedFencingNumber)
+			.map((lease) -> lease.requestedAtMillis() + this.settings.leaseMillis() - this.settings.clockMarginMillis())
+			.orElse(0L);
+	}
+
+	/**
+	 * Asks for the lease, or prolongs it, where it is time.
+	 * @param nowMillis the time
+	 */
+	void seekLease(long nowMillis) {
+		boolean fresh = nowMillis < validUntilMillis() - this.settings.leaseMillis() / 2;
+		boolean taken = this.log.lease()
+			.filter((lease) -> !lease.holder().equals(this.self) || lease.fencingNumber() == this.refusedFencingNumber)
+			.filter((lease) -> nowMillis < lease.expiryMillis() + this.settings.clockMarginMillis())
+			.isPresent();
+		if (!fresh && !taken) {
+			this.outbox.put("lease", new OrderRecord.Lease(this.self, nowMillis),
+					nowMillis + this.settings.retryMillis());
+		}
+	}
+
+	/**
+	 * Takes what the fold has learnt.
+	 * @param nowMillis the time
+	 * @return orders to send
+	 */
+	List<NodeAction> afterRead(long nowMillis) {
+		noteLease(nowMillis);
+		this.outbox.removeIf(this::hasTakenEffect);
+		List<NodeAction> actions = new ArrayList<>();
+		for (OrderProgress progress : this.log.decisions()) {
+			progress.issue()
+				.filter((issued) -> progress.result().isEmpty() && issued.fencingNumber() == this.fencingNumber)
+				.filter((issued) -> this.seenIssues.add(issued.offset()))
+				.flatMap((issued) -> send(progress.order(), nowMillis))
+				.ifPresent(actions::add);
+		}
+		return actions;
+	}
+
+	private void noteLease(long nowMillis) {
+		Optional<OrderLog.HeldLease> own = this.log.lease().filter((lease) -> lease.holder().equals(this.self));
+		if (own.isPresent() && own.get().fencingNumber() != this.fencingNumber) {
+			this.fencingNumber = own.get().fencingNumber();
+			this.heldSinceMillis = nowMillis;
+			this.seenIssues.clear();
+		}
+	}
+
+	private boolean hasTakenEffect(OrderRecord record) {
+		if (record instanceof OrderRecord.Lease asked) {
+			return this.log.lease()
+				.filter((lease) -> !lease.holder().equals(this.self)
+						|| lease.requestedAtMillis() >= asked.requestedAtMillis())
+				.isPresent();
+		}
+		if (record instanceof OrderRecord.Issue issue) {
+			return this.log.decision(issue.decisionId()).filter(OrderProgress::isWaiting).isEmpty()
+					|| issue.fencingNumber() != this.fencingNumber;
+		}
+		if (record instanceof OrderRecord.End end) {
+			return this.log.decision(end.decisionId())
+				.flatMap(OrderProgress::issue)
+				.filter((issued) -> issued.fencingNumber() == end.fencingNumber())
+				.isEmpty() || this.log.decision(end.decisionId()).flatMap(OrderProgress::result).isPresent();
+		}
+		return this.log.decision(((OrderRecord.Decision) record).order().decisionId()).isPresent();
+	}
+
+	private Optional<NodeAction> send(EngineOrder order, long nowMillis) {
+		Target target = this.capacity.catalogue().targets().get(order.target());
+		long validUntilMillis = validUntilMillis();
+		boolean spared = target != null
+				&& (!order.kind().interruptsService() || this.capacity.canSpare(target, nowMillis));
+		if (!spared || nowMillis >= validUntilMillis) {
+			end(order.decisionId(), this.fencingNumber, OrderResult.NOT_SENT, nowMillis);
+			return Optional.empty();
+		}
+		return Optional.of(new SendOrder(target, this.fencingNumber, validUntilMillis, order));
+	}
+
+	/**
+	 * Puts issue records of the decisions that may go out into the outbox.
+	 * @param nowMillis the time
+	 * @return polls of the engines whose load decides
+	 */
+	List<NodeAction> issue(long nowMillis) {
+		List<NodeAction> polls = new ArrayList<>();
+		if (nowMillis >= validUntilMillis()) {
+			return polls;
+		}
+		for (OrderProgress progress : this.log.decisions()) {
+			Target target = this.capacity.catalogue().targets().get(progress.order().target());
+			if (target != null && mayIssue(progress, target, nowMillis, polls)) {
+				String decisionId = progress.order().decisionId();
+				this.outbox.put("issue " + decisionId,
+						new OrderRecord.Issue(decisionId, this.fencingNumber, target.pool().value()),
+						nowMillis + this.settings.retryMillis());
+				break;
+			}
+		}
+		return polls;
+	}
+
+	private boolean mayIssue(OrderProgress progress, Target target, long nowMillis, List<NodeAction> polls) {
+		long startMillis = this.heldSinceMillis + (target.checksFencing() ? 0 : this.settings.clockMarginMillis());
+		if (nowMillis < startMillis || !this.log.mayIssue(progress, target.pool().value(), nowMillis)) {
+			return false;
+		}
+		if (!progress.order().kind().interruptsService() || this.capacity.canSpare(target, nowMillis)) {
+			return true;
+		}
+		if (polls.isEmpty() && nowMillis >= this.nextPollMillis) {
+			this.nextPollMillis = nowMillis + POLL_GAP_MILLIS;
+			this.capacity.engines(target.pool()).forEach((engine) -> polls.add(new PollTarget(engine)));
+		}
+		return false;
+	}
+
+	/**
+	 * Takes the answer of an engine.
+	 * @param event the answer
+	 * @param nowMillis the time
+	 */
+	void answered(OrderAnswered event, long nowMillis) {
+		if (event.result() == OrderResult.REFUSED) {
+			this.refusedFencingNumber = event.fencingNumber();
+		}
+		end(event.decisionId(), event.fencingNumber(), event.result(), nowMillis);
+	}
+
+	private void end(String decisionId, long number, OrderResult result, long nowMillis) {
+		this.outbox.put("end " + decisionId + " " + number, new OrderRecord.End(decisionId, number, result),
+				nowMillis + this.settings.outstandingMillis());
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/PoolCapacity.java
@@ -0,0 +1,100 @@
+package org.mustardlane.core.order;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mustardlane.core.event.TargetReported;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.target.LoadReport;
+
+/**
+ * Tells whether a pool can do without one of its engines.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class PoolCapacity {
+
+	private static final int PERCENT = 100;
+
+	private final OrderSettings settings;
+
+	private final Map<TargetId, TimedReport> reports = new HashMap<>();
+
+	private CatalogueSnapshot catalogue = CatalogueSnapshot.EMPTY;
+
+	/**
+	 * Creates the view before the first catalogue and report.
+	 * @param settings limits and times
+	 */
+	PoolCapacity(OrderSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Takes a newer catalogue.
+	 * @param snapshot the catalogue
+	 */
+	void catalogue(CatalogueSnapshot snapshot) {
+		this.catalogue = snapshot;
+		this.reports.keySet().retainAll(snapshot.targets().keySet());
+	}
+
+	/**
+	 * Returns the newest catalogue.
+	 * @return the catalogue
+	 */
+	CatalogueSnapshot catalogue() {
+		return this.catalogue;
+	}
+
+	/**
+	 * Takes a load report.
+	 * @param event the report
+	 * @param nowMillis the time
+	 */
+	void reported(TargetReported event, long nowMillis) {
+		if (this.catalogue.targets().containsKey(event.report().target())) {
+			this.reports.put(event.report().target(), new TimedReport(event.report(), nowMillis));
+		}
+	}
+
+	/**
+	 * Returns the engines of a pool.
+	 * @param pool the pool
+	 * @return the engines
+	 */
+	List<Target> engines(PoolId pool) {
+		return this.catalogue.targets().values().stream().filter((target) -> target.pool().equals(pool)).toList();
+	}
+
+	/**
+	 * Returns whether the other engines carry the whole load of a pool.
+	 * @param engine the engine that is to go out of service
+	 * @param nowMillis the time
+	 * @return false also where a report is missing or old
+	 */
+	boolean canSpare(Target engine, long nowMillis) {
+		int load = 0;
+		int slots = 0;
+		for (Target member : engines(engine.pool())) {
+			TimedReport report = this.reports.get(member.id());
+			if (report == null || nowMillis > report.receivedAtMillis() + this.settings.reportAgeMillis()) {
+				return false;
+			}
+			load += report.report().running() + report.report().waiting();
+			boolean stays = !member.id().equals(engine.id()) && !report.report().leaving();
+			slots += stays ? member.slots() : 0;
+		}
+		return slots * PERCENT >= load * this.settings.headroomPercent();
+	}
+
+	private record TimedReport(LoadReport report, long receivedAtMillis) {
+
+	}
+
+}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/FakeLog.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/FakeLog.java
@@ -17,7 +17,7 @@
 /**
  * The platform's log in memory, with the faults that the platform may show.
  */
-final class FakeLog {
+public final class FakeLog {
 
 	private final Map<StreamName, List<LogRecord>> streams = new HashMap<>();
 
@@ -29,13 +29,16 @@
 	/**
 	 * What happens to an append.
 	 */
-	enum Fault {
+	public enum Fault {
 
 		NONE, REJECTED, LOST_ANSWER, LATE_EFFECT, NO_EFFECT
 
 	}
 
-	LogAppendEnded append(AppendLog append, Fault fault, long nowMillis, long effectMillis) {
+	/**
+	 * Appends with a fault.
+	 */
+	public LogAppendEnded append(AppendLog append, Fault fault, long nowMillis, long effectMillis) {
 		if (fault == Fault.NONE || fault == Fault.LOST_ANSWER) {
 			long firstOffset = write(append.stream(), append.records(), nowMillis);
 			return (fault == Fault.NONE) ? ended(append, AppendResult.APPENDED, firstOffset)
@@ -51,7 +54,10 @@
 		return new LogAppendEnded(append.stream(), append.appendId(), result, firstOffset);
 	}
 
-	long write(StreamName stream, List<RecordBody> records, long nowMillis) {
+	/**
+	 * Appends without a fault.
+	 */
+	public long write(StreamName stream, List<RecordBody> records, long nowMillis) {
 		List<LogRecord> all = records(stream);
 		long firstOffset = all.size() + 1;
 		for (RecordBody record : records) {
@@ -60,18 +66,27 @@
 		return firstOffset;
 	}
 
-	List<LogRecord> records(StreamName stream) {
+	/**
+	 * Returns all records, cut or not.
+	 */
+	public List<LogRecord> records(StreamName stream) {
 		return this.streams.computeIfAbsent(stream, (name) -> new ArrayList<>());
 	}
 
-	void advance(long nowMillis) {
+	/**
+	 * Lets late appends take effect.
+	 */
+	public void advance(long nowMillis) {
 		while (!this.lateAppends.isEmpty() && this.lateAppends.peek().dueMillis() <= nowMillis) {
 			AppendLog late = this.lateAppends.poll().append();
 			write(late.stream(), late.records(), nowMillis);
 		}
 	}
 
-	void cutBefore(long timeMillis) {
+	/**
+	 * Cuts the records that are older than a time.
+	 */
+	public void cutBefore(long timeMillis) {
 		for (StreamName stream : this.streams.keySet()) {
 			List<LogRecord> all = records(stream);
 			int kept = (int) firstRetained(stream) - 1;
@@ -86,7 +101,10 @@
 		return this.firstRetained.getOrDefault(stream, 1L);
 	}
 
-	LogRecordsRead read(StreamName stream, long fromOffset, int limit) {
+	/**
+	 * Reads from an offset.
+	 */
+	public LogRecordsRead read(StreamName stream, long fromOffset, int limit) {
 		List<LogRecord> all = records(stream);
 		long from = Math.max(fromOffset, firstRetained(stream));
 		long next = Math.min(all.size() + 1, from + limit);
