Judge an eased-out target by its probes alone, and probe it less the longer it stays slow

Change: what is usual follows slowly, probes at 0.5 to 4 s within the bound, samples of grants before the closing are left out, silence counts from 1.25 releases a grant; bulk leaves room for one deviation of the short work.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.DrainRequested;
@@ -31,6 +33,7 @@
 import org.mustardlane.core.model.common.LockRank;
 import org.mustardlane.core.model.common.RankedLock;
 import org.mustardlane.core.model.common.Rendezvous;
+import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.model.target.LoadReport;
 
@@ -110,6 +113,19 @@
 			.toList());
 	}
 
+	/**
+	 * Returns the targets of the shards that this router owns which take new work.
+	 * @return the targets that are neither leaving nor eased out
+	 */
+	public Set<TargetId> openTargets() {
+		return this.lock.locked(() -> this.table.ownedShards()
+			.stream()
+			.flatMap((shard) -> shard.targets().stream())
+			.filter(TargetSlots::isOpen)
+			.map((slots) -> slots.target().id())
+			.collect(Collectors.toUnmodifiableSet()));
+	}
+
 	private void take(NodeEvent event, long nowMillis, List<NodeAction> actions) {
 		if (event instanceof PeerMessageReceived received) {
 			receive(received.sender(), received.message(), nowMillis, actions);
@@ -202,7 +218,7 @@
 				health.failed();
 			}
 			else {
-				health.answered(release.timing());
+				health.answered(release.timing(), grant.grantedAtMillis());
 			}
 		});
 		if (release.cause() == ReleaseCause.COMPLETED) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
@@ -96,19 +96,24 @@
 			return false;
 		}
 		ServiceClass serviceClass = pending.ask().serviceClass();
-		if (slots.health().sharePercent() == 0) {
-			return serviceClass != ServiceClass.URGENT && slots.granted() == 0 && slots.health().isProbeDue(nowMillis);
-		}
 		if (slots.used(nowMillis) >= limit(shard, slots, bound)) {
 			return false;
 		}
+		if (slots.health().sharePercent() == 0) {
+			return mayProbe(shard, serviceClass, nowMillis) && slots.health().isProbeDue(nowMillis);
+		}
 		return serviceClass != ServiceClass.BULK
 				|| slots.granted(ServiceClass.BULK) < this.limits.bulkLimit(shard, slots, nowMillis);
 	}
 
+	private static boolean mayProbe(Shard shard, ServiceClass serviceClass, long nowMillis) {
+		return serviceClass != ServiceClass.URGENT || !shard.work().lesserIsAbout(nowMillis);
+	}
+
 	private static int limit(Shard shard, TargetSlots slots, int bound) {
-		int healthy = Math.max(1, slots.target().slots() * slots.health().sharePercent() / PERCENT);
-		return Math.min(bound, healthy) * shard.routerSharePercent() / PERCENT;
+		int sharePercent = slots.health().sharePercent();
+		int healthy = slots.target().slots() * ((sharePercent != 0) ? sharePercent : PERCENT) / PERCENT;
+		return Math.min(bound, Math.max(1, healthy)) * shard.routerSharePercent() / PERCENT;
 	}
 
 	private static boolean isExcluded(TargetSlots slots, PendingAsk pending) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -267,7 +267,7 @@
 				staying.add(slots.health());
 			}
 		}
-		if (this.health.review(staying)) {
+		if (this.health.review(staying, nowMillis)) {
 			recount();
 		}
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/SlotLimits.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/SlotLimits.java
@@ -14,7 +14,7 @@
 
 	private static final int PERCENT = 100;
 
-	private static final double SHORT_DEVIATIONS = 1.5;
+	private static final double SHORT_DEVIATIONS = 1;
 
 	/**
 	 * Nothing is kept for urgent work where a slot comes free within this time anyway.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/WorkMix.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/WorkMix.java
@@ -17,6 +17,8 @@
 
 	private long shortUntilMillis;
 
+	private long lesserUntilMillis;
+
 	private double meanShort;
 
 	private long sampledAtMillis;
@@ -25,6 +27,9 @@
 		if (serviceClass == ServiceClass.URGENT) {
 			this.urgentUntilMillis = nowMillis + URGENT_MEMORY_MILLIS;
 		}
+		else {
+			this.lesserUntilMillis = nowMillis + SHORT_MEMORY_MILLIS;
+		}
 		if (serviceClass != ServiceClass.BULK) {
 			this.shortUntilMillis = nowMillis + SHORT_MEMORY_MILLIS;
 		}
@@ -49,6 +54,10 @@
 		return nowMillis < this.shortUntilMillis;
 	}
 
+	boolean lesserIsAbout(long nowMillis) {
+		return nowMillis < this.lesserUntilMillis;
+	}
+
 	double meanShort() {
 		return this.meanShort;
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
@@ -22,9 +22,10 @@
 	/**
 	 * Reviews the targets; to be called at a steady pace.
 	 * @param targets the targets that are not leaving
+	 * @param nowMillis the time
 	 * @return whether a target was opened or closed
 	 */
-	public boolean review(Collection<TargetHealth> targets) {
+	public boolean review(Collection<TargetHealth> targets, long nowMillis) {
 		long openBefore = targets.stream().filter(TargetHealth::isOpen).count();
 		if (!targets.isEmpty() && targets.stream().allMatch(TargetHealth::isFailing)) {
 			targets.forEach(TargetHealth::restore);
@@ -32,22 +33,22 @@
 		else {
 			this.firstToken.learn(targets);
 			this.tokenGap.learn(targets);
-			ease(targets);
+			ease(targets, nowMillis);
 		}
 		return targets.stream().filter(TargetHealth::isOpen).count() != openBefore;
 	}
 
-	private void ease(Collection<TargetHealth> targets) {
+	private void ease(Collection<TargetHealth> targets, long nowMillis) {
 		List<TargetHealth> slowestFirst = targets.stream()
 			.filter((target) -> !target.isFailing())
 			.sorted(Comparator.comparingDouble(this::slowness).reversed())
 			.toList();
-		targets.stream().filter(TargetHealth::isFailing).forEach(TargetHealth::easeOut);
+		targets.stream().filter(TargetHealth::isFailing).forEach((target) -> target.easeOut(nowMillis));
 		int room = targets.size() / 2;
 		for (TargetHealth target : slowestFirst) {
 			if (room > 0 && isSlow(target)) {
 				room--;
-				target.easeOut();
+				target.easeOut(nowMillis);
 			}
 			else if (target.isOpen() || target.hasSamples()) {
 				target.easeIn();
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
@@ -17,7 +17,7 @@
 
 	private static final int OPEN_PERCENT = 50;
 
-	private static final int PROBE_PERCENT = 10;
+	private static final int LEAST_PERCENT = 10;
 
 	private static final int ENOUGH_SAMPLES = 3;
 
@@ -27,9 +27,15 @@
 
 	private static final int LEAST_SILENCE = 8;
 
-	private static final int SILENCE_PER_GRANT = 2;
+	private static final double SILENCE_PER_GRANT = 1.25;
 
-	private static final int PROBE_INTERVAL_MILLIS = 500;
+	private static final int SHORTEST_PROBE_INTERVAL_MILLIS = 500;
+
+	private static final int LONGEST_PROBE_INTERVAL_MILLIS = 4000;
+
+	private static final int MOST_PROBES = 2;
+
+	private static final int LOST_PROBE_MILLIS = 5000;
 
 	private final SampleWindow firstTokens = new SampleWindow();
 
@@ -45,13 +51,28 @@
 
 	private int sharePercent = FULL_PERCENT;
 
-	private long nextProbeMillis;
+	private long closedAtMillis;
+
+	private long lastGrantMillis;
+
+	private int probeIntervalMillis = SHORTEST_PROBE_INTERVAL_MILLIS;
+
+	private int probesInFlight;
 
 	/**
-	 * Takes the end of an attempt that was not broken.
+	 * Takes the end of an attempt that was not broken. What was granted before the target
+	 * was closed tells nothing of its recovery.
 	 * @param timing how fast the target was; without a first token the time waited counts
+	 * @param grantedAtMillis when the attempt was granted
 	 */
-	public void answered(AttemptTiming timing) {
+	public void answered(AttemptTiming timing, long grantedAtMillis) {
+		this.overdueReleases = 0;
+		if (isOpen() || grantedAtMillis >= this.closedAtMillis) {
+			sample(timing);
+		}
+	}
+
+	private void sample(AttemptTiming timing) {
 		boolean whole = timing.firstTokenMillis() >= 0;
 		this.firstTokens.add(whole ? timing.firstTokenMillis() : timing.serviceMillis());
 		if (timing.worstTokenGapMillis() >= 0) {
@@ -60,8 +81,8 @@
 		if (whole) {
 			this.failuresInARow = 0;
 		}
-		this.overdueReleases = 0;
 		this.silent = false;
+		this.probesInFlight = Math.max(0, this.probesInFlight - 1);
 	}
 
 	/**
@@ -70,6 +91,7 @@
 	public void failed() {
 		this.failuresInARow++;
 		this.overdueReleases = 0;
+		this.probesInFlight = Math.max(0, this.probesInFlight - 1);
 	}
 
 	/**
@@ -87,7 +109,7 @@
 	 */
 	public void elapse(double expectedReleases, int granted) {
 		this.overdueReleases = (granted == 0) ? 0 : this.overdueReleases + expectedReleases;
-		this.silent |= this.overdueReleases > Math.max(LEAST_SILENCE, SILENCE_PER_GRANT * granted);
+		this.silent |= this.overdueReleases > Math.max(LEAST_SILENCE, SILENCE_PER_GRANT * granted + 1);
 	}
 
 	boolean isFailing() {
@@ -132,7 +154,9 @@
 	 * @return true if a probe is due
 	 */
 	public boolean isProbeDue(long nowMillis) {
-		return this.sharePercent == 0 && nowMillis >= this.nextProbeMillis;
+		boolean lost = nowMillis >= this.lastGrantMillis + LOST_PROBE_MILLIS;
+		long dueMillis = this.lastGrantMillis + this.probeIntervalMillis;
+		return this.sharePercent == 0 && nowMillis >= dueMillis && (lost || this.probesInFlight < MOST_PROBES);
 	}
 
 	/**
@@ -140,21 +164,32 @@
 	 * @param nowMillis the time
 	 */
 	public void granted(long nowMillis) {
-		this.nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS;
+		this.lastGrantMillis = nowMillis;
+		if (this.sharePercent == 0) {
+			this.probesInFlight++;
+			this.probeIntervalMillis = Math.min(LONGEST_PROBE_INTERVAL_MILLIS, 2 * this.probeIntervalMillis);
+		}
 	}
 
-	void easeOut() {
+	void easeOut(long nowMillis) {
 		boolean wasOpen = isOpen();
 		int halved = this.sharePercent / 2;
-		this.sharePercent = (halved < PROBE_PERCENT) ? 0 : halved;
+		this.sharePercent = (halved < LEAST_PERCENT) ? 0 : halved;
 		if (wasOpen && !isOpen()) {
-			this.firstTokens.clear();
-			this.tokenGaps.clear();
+			close(nowMillis);
 		}
 	}
 
+	private void close(long nowMillis) {
+		this.closedAtMillis = nowMillis;
+		this.firstTokens.clear();
+		this.tokenGaps.clear();
+		this.probesInFlight = 0;
+		this.probeIntervalMillis = SHORTEST_PROBE_INTERVAL_MILLIS;
+	}
+
 	void easeIn() {
-		this.sharePercent = Math.min(FULL_PERCENT, Math.max(PROBE_PERCENT, this.sharePercent * 2));
+		this.sharePercent = Math.min(FULL_PERCENT, Math.max(LEAST_PERCENT, this.sharePercent * 2));
 	}
 
 	void restore() {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/UsualTime.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/UsualTime.java
@@ -5,12 +5,12 @@
 
 /**
  * What is usual for a quantity among the targets of a shard: the 90th percentile of their
- * newest samples, which may fall at once and rises slowly.
+ * newest samples, followed slowly.
  *
  * <p>
  * A high percentile, so that a run of answers without a cached prefix is not taken for
- * slowness; a slow rise, so that a slowdown of most targets does not become usual at
- * once. Not thread-safe.
+ * slowness; followed slowly, so that neither a slowdown of most targets nor a run of
+ * answers with a cached prefix becomes usual at once. Not thread-safe.
  */
 final class UsualTime {
 
@@ -18,6 +18,10 @@
 
 	private static final double RISE = 1.005;
 
+	private static final double FALL = 0.998;
+
+	private static final int TRUSTED_REVIEWS = 100;
+
 	private static final double SLOW_FACTOR = 2;
 
 	private static final int SLACK_MILLIS = 20;
@@ -26,6 +30,8 @@
 
 	private double usualMillis;
 
+	private int reviews;
+
 	UsualTime(Function<TargetHealth, SampleWindow> quantity) {
 		this.quantity = quantity;
 	}
@@ -38,11 +44,18 @@
 			.toArray();
 		if (sorted.length > 0) {
 			double percentile = sorted[(int) ((sorted.length - 1) * PERCENTILE)];
-			this.usualMillis = (this.usualMillis != 0) ? Math.min(percentile, this.usualMillis * RISE + RISE)
-					: percentile;
+			this.usualMillis = (this.reviews < TRUSTED_REVIEWS) ? Math.max(this.usualMillis, percentile)
+					: follow(percentile);
+			this.reviews++;
 		}
 	}
 
+	private double follow(double percentile) {
+		double most = this.usualMillis * RISE + RISE;
+		double least = this.usualMillis * FALL;
+		return Math.max(least, Math.min(most, percentile));
+	}
+
 	/**
 	 * Returns how far a target is above what is usual.
 	 * @param target the target
