--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
@@ -115,11 +115,7 @@
 		long waitMillis = this.choice.homeWaitMillis(shard, pending, nowMillis);
 		boolean patient = waitMillis > 0 && nowMillis + waitMillis <= pending.latestStartMillis()
 				&& !isAtLimit(shard, pending);
-		return (patient && isHome(shard, pending)) ? nowMillis + waitMillis : 0;
-	}
-
-	private boolean isHome(Shard shard, PendingAsk pending) {
-		return this.route.route(shard.id().pool(), pending.ask().chatHash()).indexOf(shard.id()) == 0;
+		return (patient && this.route.isHome(shard.id(), pending.ask().chatHash())) ? nowMillis + waitMillis : 0;
 	}
 
 	private Optional<ShardId> shardWithRoom(Shard shard, GrantAsk ask, long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
@@ -35,6 +35,12 @@
 
 	private int heardOpenTargets;
 
+	private int ownGranted;
+
+	private int ownOpenTargets;
+
+	private long warmUpEndMillis;
+
 	/**
 	 * Returns the other routers that own shards of the pool.
 	 * @return the routers
@@ -55,6 +61,9 @@
 		this.ownShards.clear();
 		this.ownShards.addAll(shards);
 		this.ownShards.forEach((shard) -> this.heardLoads.remove(shard.id()));
+		this.ownGranted = shards.stream().mapToInt(Shard::openGranted).sum();
+		this.ownOpenTargets = shards.stream().mapToInt(Shard::openTargets).sum();
+		this.warmUpEndMillis = shards.stream().mapToLong(Shard::warmUpEndMillis).max().orElse(0);
 		sum();
 	}
 
@@ -94,7 +103,20 @@
 		return Optional.ofNullable(this.heardLoads.get(shard)).map(HeardLoad::load);
 	}
 
+	/**
+	 * Counts a change of the open targets of the own shards and of their grants.
+	 * @param grantedChange more or fewer grants
+	 * @param targetsChange more or fewer open targets
+	 */
+	void changeOwn(int grantedChange, int targetsChange) {
+		this.ownGranted += grantedChange;
+		this.ownOpenTargets += targetsChange;
+	}
+
 	int granted(long nowMillis) {
+		if (nowMillis >= this.warmUpEndMillis) {
+			return this.heardGranted + this.ownGranted;
+		}
 		int granted = this.heardGranted;
 		for (Shard shard : this.ownShards) {
 			granted += shard.openLoad(nowMillis);
@@ -103,11 +125,7 @@
 	}
 
 	int openTargets() {
-		int openTargets = this.heardOpenTargets;
-		for (Shard shard : this.ownShards) {
-			openTargets += shard.openTargets();
-		}
-		return openTargets;
+		return this.heardOpenTargets + this.ownOpenTargets;
 	}
 
 	/**
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -120,6 +120,8 @@
 	 * Counts the open targets and their grants again, after one was opened or closed.
 	 */
 	void recount() {
+		int targetsBefore = this.openTargets;
+		int grantedBefore = this.openGranted;
 		this.openTargets = 0;
 		this.openSlots = 0;
 		this.openGranted = 0;
@@ -132,6 +134,24 @@
 				this.openGranted += slots.granted();
 			}
 		}
+		tellPool(this.openGranted - grantedBefore, this.openTargets - targetsBefore);
+	}
+
+	private void tellPool(int grantedChange, int targetsChange) {
+		if (this.owned) {
+			this.pool.changeOwn(grantedChange, targetsChange);
+		}
+	}
+
+	private void countOpen(Grant grant, int change) {
+		if (target(grant.target()).filter(TargetSlots::isOpen).isPresent()) {
+			this.openGranted += change;
+			tellPool(change, 0);
+		}
+	}
+
+	long warmUpEndMillis() {
+		return this.warmUpEndMillis;
 	}
 
 	WorkMix work() {
@@ -176,6 +196,10 @@
 		return this.openSlots;
 	}
 
+	int openGranted() {
+		return this.openGranted;
+	}
+
 	/**
 	 * Returns the load of the open targets for the mean of the pool.
 	 * @param nowMillis the time
@@ -231,7 +255,7 @@
 		this.grants.put(grant.key(), grant);
 		this.grantsByOrganisation.merge(grant.organisation(), 1, Integer::sum);
 		this.shortGranted += (grant.serviceClass() == ServiceClass.BULK) ? 0 : 1;
-		this.openGranted += target(grant.target()).filter(TargetSlots::isOpen).isPresent() ? 1 : 0;
+		countOpen(grant, 1);
 	}
 
 	void renewGrant(Grant grant, long expiryMillis) {
@@ -245,7 +269,7 @@
 		this.grantsByOrganisation.computeIfPresent(grant.organisation(),
 				(organisation, count) -> (count > 1) ? count - 1 : null);
 		this.shortGranted -= (grant.serviceClass() == ServiceClass.BULK) ? 0 : 1;
-		this.openGranted -= target(grant.target()).filter(TargetSlots::isOpen).isPresent() ? 1 : 0;
+		countOpen(grant, -1);
 		target(grant.target()).ifPresent((slots) -> slots.removeGrant(grant));
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/chat/ShardRoute.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/chat/ShardRoute.java
@@ -66,6 +66,26 @@
 			.toList();
 	}
 
+	/**
+	 * Tells whether a shard is the first in the order of a chat.
+	 * @param shard the shard
+	 * @param chatHash hash of the chat
+	 * @return true if the best target of the chat is in the shard
+	 */
+	public boolean isHome(ShardId shard, long chatHash) {
+		List<ShardHashes> pool = this.pools.getOrDefault(shard.pool(), List.of());
+		long own = 0;
+		for (ShardHashes part : pool) {
+			own = part.shard().equals(shard) ? part.bestScore(chatHash) : own;
+		}
+		for (ShardHashes part : pool) {
+			if (Long.compareUnsigned(part.bestScore(chatHash), own) > 0) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private record ScoredShard(ShardId shard, long score) {
 
 	}
--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/AdmissionBenchmark.java
@@ -0,0 +1,169 @@
+package org.mustardlane.core.admission;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+import org.mustardlane.core.chat.ShardRoute;
+import org.mustardlane.core.event.CatalogueChanged;
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.OwnershipChanged;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.message.GrantAnswer;
+import org.mustardlane.core.message.GrantAsk;
+import org.mustardlane.core.message.GrantRelease;
+import org.mustardlane.core.message.PeerMessage;
+import org.mustardlane.core.message.ReleaseCause;
+import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.Organisation;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.common.EntryName;
+import org.mustardlane.core.model.common.OrganisationId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.ShardId;
+import org.mustardlane.core.model.target.AttemptTiming;
+
+/**
+ * Cost of one ask and its release at an owner of all shards of a pool.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class AdmissionBenchmark {
+
+	private static final int ORGANISATIONS = 1400;
+
+	private static final int DOMAINS = 10;
+
+	private static final int SLOTS = 8;
+
+	private static final int HELD = 2000;
+
+	private static final AttemptTiming TIMING = new AttemptTiming(20, 10, 100);
+
+	/**
+	 * How targets are chosen.
+	 */
+	@Param
+	public AdmissionPolicy policy;
+
+	/**
+	 * Number of targets in the pool.
+	 */
+	@Param({ "60", "600" })
+	public int targets;
+
+	/**
+	 * Number of chats that return.
+	 */
+	@Param({ "1000", "1000000" })
+	public int chats;
+
+	private AdmissionHandler handler;
+
+	private ShardId[] homes;
+
+	private OrganisationId[] organisations;
+
+	private final long nowMillis = 1_002_000;
+
+	private long count;
+
+	/**
+	 * Fills the handler with grants up to half of the slots.
+	 */
+	@Setup
+	public void fill() {
+		CatalogueSnapshot targetsOnly = AdmissionFixture.catalogue(this.targets, DOMAINS, SLOTS);
+		this.organisations = new OrganisationId[ORGANISATIONS];
+		Map<OrganisationId, Organisation> all = new HashMap<>();
+		for (int i = 0; i < ORGANISATIONS; i++) {
+			this.organisations[i] = new OrganisationId("org-" + i);
+			all.put(this.organisations[i], new Organisation(this.organisations[i], "", 2000, 1 + i % 3));
+		}
+		CatalogueSnapshot catalogue = new CatalogueSnapshot(1, Map.of(), all, targetsOnly.targets());
+		this.handler = new AdmissionHandler(AdmissionFixture.SELF, 1, AdmissionSettings.of(this.policy, 1));
+		this.handler.handle(new CatalogueChanged(catalogue), 1_000_000);
+		this.handler.handle(
+				new OwnershipChanged(AdmissionFixture.ownership(AdmissionFixture.SELF, AdmissionFixture.SELF)),
+				1_000_000);
+		this.handler.handle(new Tick(), this.nowMillis);
+		ShardRoute route = new ShardRoute(catalogue);
+		this.homes = new ShardId[1024];
+		for (int i = 0; i < this.homes.length; i++) {
+			this.homes[i] = route.route(AdmissionFixture.POOL, chatHash(i)).get(0);
+		}
+		for (int i = 0; i < Math.min(HELD, this.targets * SLOTS / 2); i++) {
+			ask();
+		}
+	}
+
+	private static long chatHash(long chat) {
+		return (chat + 1) * 0x9E3779B97F4A7C15L;
+	}
+
+	private List<NodeAction> ask() {
+		this.count++;
+		int chat = (int) (this.count * 7919 % this.chats);
+		GrantAsk ask = new GrantAsk(new RequestId("r" + this.count), 1, this.homes[chat % this.homes.length],
+				new EntryName("entry"), this.organisations[(int) (this.count % ORGANISATIONS)],
+				ServiceClass.INTERACTIVE, chatHash(chat), this.nowMillis + 10_000, 100, Set.of(), true);
+		return receive(ask);
+	}
+
+	private List<NodeAction> receive(PeerMessage message) {
+		return this.handler.handle(new PeerMessageReceived(AdmissionFixture.SELF, message), this.nowMillis);
+	}
+
+	/**
+	 * Asks for a grant and gives it back.
+	 * @return what the handler did
+	 */
+	@Benchmark
+	public List<NodeAction> askAndRelease() {
+		List<NodeAction> actions = ask();
+		for (NodeAction action : actions) {
+			if (action instanceof SendPeer send && send.message() instanceof GrantAnswer answer
+					&& answer.target().isPresent()) {
+				receive(new GrantRelease(answer.requestId(), 1, answer.shard(), answer.grantId(), answer.target().get(),
+						ReleaseCause.COMPLETED, TIMING));
+			}
+		}
+		return actions;
+	}
+
+	/**
+	 * Runs the benchmark with its allocation.
+	 * @param arguments none
+	 * @throws RunnerException if it fails
+	 */
+	public static void main(String[] arguments) throws RunnerException {
+		new Runner(new OptionsBuilder().include(AdmissionBenchmark.class.getSimpleName())
+			.addProfiler(GCProfiler.class)
+			.build()).run();
+	}
+
+}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/chat/ShardRouteTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/chat/ShardRouteTests.java
@@ -16,6 +16,7 @@
 import org.mustardlane.core.model.common.TargetId;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -34,6 +35,16 @@
 		assertEquals(ShardRoute.route(catalogue, new PoolId("other"), 42), List.of());
 	}
 
+	@Test
+	public void homeIsTheFirstShardOfTheRoute() {
+		ShardRoute route = new ShardRoute(catalogue(8));
+		for (long chat = 1; chat < 100; chat++) {
+			List<ShardId> order = route.route(POOL, chat * 0x9E3779B97F4A7C15L);
+			assertTrue(route.isHome(order.get(0), chat * 0x9E3779B97F4A7C15L));
+			assertFalse(route.isHome(order.get(1), chat * 0x9E3779B97F4A7C15L));
+		}
+	}
+
 	@Test
 	public void addedTargetMovesFewHomes() {
 		ShardRoute before = new ShardRoute(catalogue(8));
