--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/HealthReview.java
@@ -22,9 +22,10 @@
 	/**
 	 * Reviews the targets; to be called at a steady pace.
 	 * @param targets the targets that are not leaving
+	 * @param nowMillis the time
 	 * @return whether a target was opened or closed
 	 */
-	public boolean review(Collection<TargetHealth> targets) {
+	public boolean review(Collection<TargetHealth> targets, long nowMillis) {
 		long openBefore = targets.stream().filter(TargetHealth::isOpen).count();
 		if (!targets.isEmpty() && targets.stream().allMatch(TargetHealth::isFailing)) {
 			targets.forEach(TargetHealth::restore);
@@ -32,29 +33,41 @@
 		else {
 			this.firstToken.learn(targets);
 			this.tokenGap.learn(targets);
-			ease(targets);
+			ease(targets, nowMillis);
 		}
 		return targets.stream().filter(TargetHealth::isOpen).count() != openBefore;
 	}
 
-	private void ease(Collection<TargetHealth> targets) {
+	private void ease(Collection<TargetHealth> targets, long nowMillis) {
 		List<TargetHealth> slowestFirst = targets.stream()
 			.filter((target) -> !target.isFailing())
 			.sorted(Comparator.comparingDouble(this::slowness).reversed())
 			.toList();
-		targets.stream().filter(TargetHealth::isFailing).forEach(TargetHealth::easeOut);
-		int room = targets.size() / 2;
+		targets.stream().filter(TargetHealth::isFailing).forEach((target) -> target.easeOut(nowMillis));
+		long room = targets.size() / 2 - slowestFirst.stream().filter((target) -> !target.isOpen()).count();
 		for (TargetHealth target : slowestFirst) {
-			if (room > 0 && isSlow(target)) {
-				room--;
-				target.easeOut();
+			if (!target.isOpen()) {
+				easeClosed(target, nowMillis);
 			}
-			else if (target.isOpen() || target.hasSamples()) {
+			else if (room > 0 && isSlow(target)) {
+				target.easeOut(nowMillis);
+				room -= target.isOpen() ? 0 : 1;
+			}
+			else {
 				target.easeIn();
 			}
 		}
 	}
 
+	private void easeClosed(TargetHealth target, long nowMillis) {
+		if (target.hasSamples() && !isSlow(target)) {
+			target.easeIn();
+		}
+		else {
+			target.easeOut(nowMillis);
+		}
+	}
+
 	private boolean isSlow(TargetHealth target) {
 		return target.isSilent() || (target.hasSamples() && slowness(target) > 1);
 	}
