--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/random/KeyedCalls.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/random/KeyedCalls.java
@@ -82,16 +82,23 @@
 			.collect(Collectors.groupingBy((call) -> call.request().idempotencyKey().orElseThrow()));
 		Map<String, Long> executions = journal.stream()
 			.collect(Collectors.groupingBy(JournalRow::idempotencyKey, Collectors.counting()));
-		long answered = byKey.values().stream().filter((list) -> last(list).isAnswered()).count();
-		long refused = byKey.values().stream().filter((list) -> last(list).isNotRun()).count();
-		long unknownExecuted = byKey.entrySet()
-			.stream()
-			.filter((entry) -> !last(entry.getValue()).isAnswered() && !last(entry.getValue()).isNotRun())
-			.filter((entry) -> executions.containsKey(entry.getKey()))
-			.count();
-		long unknown = byKey.size() - answered - refused;
-		return "%d keys, %d calls: %d answered in the end, %d refused, %d unknown (%d of them executed); %d executions"
-			.formatted(byKey.size(), calls.size(), answered, refused, unknown, unknownExecuted,
+		List<CallResult> answered = new ArrayList<>();
+		List<String> refused = new ArrayList<>();
+		List<String> unknown = new ArrayList<>();
+		byKey.forEach((key, list) -> {
+			CallResult last = last(list);
+			if (last.isAnswered()) {
+				answered.add(last);
+			}
+			else {
+				(last.isNotRun() ? refused : unknown).add(key);
+			}
+		});
+		return ("%d keys, %d calls: %d answered in the end, %d refused (%d executed by an earlier call), "
+				+ "%d unknown (%d executed); %d executions")
+			.formatted(byKey.size(), calls.size(), answered.size(), refused.size(),
+					refused.stream().filter(executions::containsKey).count(), unknown.size(),
+					unknown.stream().filter(executions::containsKey).count(),
 					executions.values().stream().mapToLong(Long::longValue).sum());
 	}
 
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
@@ -93,6 +93,11 @@
 		this.world.fleet().links().set(one, other, LinkState.OPEN);
 	}
 
+	@When("the link to {word} is {word}")
+	public void linkTarget(String target, String state) {
+		this.world.fleet().links().setTarget(target, LinkState.valueOf(state));
+	}
+
 	@When("the platform has the faults {}")
 	public void platformFaults(String json) throws FleetException {
 		this.world.fleet().platform().faults(json);
--- a/mustardlane-proof/src/test/resources/features/serving.feature
+++ b/mustardlane-proof/src/test/resources/features/serving.feature
@@ -56,6 +56,49 @@
     Then expect callers before answered
     And expect callers later answered or not run
 
+  @stop
+  Scenario: Five of eight routers stop together under load
+    Given a fleet of 8 routers
+    When 64 callers before send chat to all routers for 200 tokens
+    And 16 callers lot send release to all routers with a key each
+    And caller before-0 has received 50 bytes
+    And I drain vm-1
+    And I drain vm-2
+    And I drain vm-3
+    And I drain vm-4
+    And I drain vm-5
+    And vm-1 has ended
+    And vm-2 has ended
+    And vm-3 has ended
+    And vm-4 has ended
+    And vm-5 has ended
+    And 24 callers after send chat to all routers for 20 tokens
+    Then expect callers before answered
+    And expect callers lot answered
+    And expect callers after answered
+
+  @leaving
+  Scenario: A target that flaps does not shake the rest
+    Given a fleet of 3 routers
+    When target "engine-1" has the faults {"leaving":true}
+    And 24 callers one send chat to all routers for 40 tokens
+    And target "engine-1" has the faults {}
+    And 24 callers two send chat to all routers for 40 tokens
+    And target "engine-1" has the faults {"resetConnections":true}
+    And 24 callers three send chat to all routers for 40 tokens
+    And target "engine-1" has the faults {}
+    Then expect callers one answered
+    And expect callers two answered
+    And expect callers three answered
+
+  @slow
+  Scenario: A target can not be reached
+    Given a fleet of 3 routers
+    And the link to engine-1 is SILENT
+    And the link to engine-2 is RESET
+    When 64 callers chat send chat to all routers for 20 tokens
+    Then expect callers chat answered
+
   @owner
   Scenario Outline: A router that owns engines or claims is killed or frozen
     Given a fleet of 6 routers
