Say unknown after a join fails; keep a cut domain's requests at home; fill the time line

A router that a message could not reach counted as alive again after 1.5 s while its last heartbeat was young. Change: after a join UNAVAILABLE means UNKNOWN HOLDER_GONE; shards of domains without a live router are asked last; an unreachable router stays dead until its heartbeat grows; ActionTimeline records the life of requests; events of attempts go to the request table alone.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/GrantSeeker.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/GrantSeeker.java
@@ -66,7 +66,12 @@
 	 */
 	static Optional<GrantSeeker> of(AcceptedRequest accepted, int attempt, Set<TargetId> excludedTargets,
 			FlowContext context) {
-		List<ShardId> route = ShardRoute.route(context.catalogue(), accepted.entry().pool(), accepted.chatHash());
+		List<ShardId> all = ShardRoute.route(context.catalogue(), accepted.entry().pool(), accepted.chatHash());
+		// A failure domain without a live router is cut off, and so are its targets.
+		List<ShardId> reachable = all.stream()
+			.filter((shard) -> !context.ownership().inDomain(shard.domain()).isEmpty())
+			.toList();
+		List<ShardId> route = reachable.isEmpty() ? all : reachable;
 		return route.isEmpty() ? Optional.empty()
 				: Optional.of(new GrantSeeker(accepted, attempt, excludedTargets, route));
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -107,14 +107,22 @@
 			case BODY_DIFFERS:
 				return refuse(Outcome.NOT_RUN, RefusalCode.KEY_REUSED, "the key was used with another body", 0);
 			case UNAVAILABLE:
-				return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
-						Math.max(1, answer.retryAfterMillis()));
+				return claimUnavailable(answer.retryAfterMillis());
 			default:
 				seeker.ownerLost(nowMillis);
 				return List.of();
 		}
 	}
 
+	private List<NodeAction> claimUnavailable(long retryAfterMillis) {
+		if (this.joinedBefore) {
+			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the router that holds the claim is gone",
+					RETRY_AFTER_MILLIS);
+		}
+		return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
+				Math.max(1, retryAfterMillis));
+	}
+
 	private boolean isClaiming() {
 		return isCallerWaiting() && !this.claimHeld && !this.joining;
 	}
@@ -334,8 +342,7 @@
 		if (!seeker.isPatienceOver(nowMillis)) {
 			return seeker.tick(context, nowMillis);
 		}
-		return giveUp(RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed in time", RETRY_AFTER_MILLIS,
-				context, nowMillis);
+		return Actions.concat(releaseClaim(context), claimUnavailable(RETRY_AFTER_MILLIS));
 	}
 
 	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
@@ -69,6 +69,7 @@
 
 	void markUnreachable(long nowMillis) {
 		this.unreachableAtMillis = nowMillis;
+		this.heardAtMillis = Math.min(this.heardAtMillis, nowMillis - FAR_TIMEOUT_MILLIS);
 	}
 
 	void setLeaving(boolean leaving) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/node/Node.java
@@ -15,6 +15,10 @@
 import org.mustardlane.core.catalogue.CatalogueHandler;
 import org.mustardlane.core.catalogue.HistoryRow;
 import org.mustardlane.core.claim.ClaimHandler;
+import org.mustardlane.core.event.AttemptBytesReceived;
+import org.mustardlane.core.event.AttemptEnded;
+import org.mustardlane.core.event.AttemptHeadReceived;
+import org.mustardlane.core.event.AttemptSending;
 import org.mustardlane.core.event.DrainRequested;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.LogAppendEnded;
@@ -24,6 +28,7 @@
 import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.PeerMessageReceived;
 import org.mustardlane.core.event.RaiseEvent;
+import org.mustardlane.core.event.RecordEvent;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.VmListRead;
 import org.mustardlane.core.execution.RequestHandler;
@@ -59,6 +64,8 @@
 
 	private final List<EventHandler> handlers;
 
+	private final ActionTimeline timeline;
+
 	private final AtomicReference<Ownership> ownership;
 
 	private final AtomicLong lastPlatformContactMillis = new AtomicLong();
@@ -84,6 +91,7 @@
 				AdmissionSettings.of(settings.admissionPolicy(), settings.seed()));
 		ClaimHandler claims = new ClaimHandler(settings.self(), settings.incarnationMillis());
 		OrderHandler orders = new OrderHandler(settings.self(), settings.incarnationMillis());
+		this.timeline = new ActionTimeline(settings.self(), settings.domain());
 		this.handlers = List.of(this.membership, this.catalogue, this.admission, claims, orders, this.requests);
 	}
 
@@ -95,14 +103,21 @@
 		while (!pending.isEmpty()) {
 			NodeEvent next = pending.remove();
 			note(next, nowMillis);
-			for (EventHandler handler : this.handlers) {
-				handler.handle(next, nowMillis).forEach((action) -> sort(action, outgoing, pending));
+			this.timeline.describe(next, nowMillis).map(RecordEvent::new).ifPresent(outgoing::add);
+			for (EventHandler handler : handlersOf(next)) {
+				handler.handle(next, nowMillis).forEach((action) -> sort(action, nowMillis, outgoing, pending));
 			}
 		}
 		return outgoing;
 	}
 
-	private void sort(NodeAction action, List<NodeAction> outgoing, Deque<NodeEvent> pending) {
+	private List<EventHandler> handlersOf(NodeEvent event) {
+		boolean ofAttempt = event instanceof AttemptBytesReceived || event instanceof AttemptHeadReceived
+				|| event instanceof AttemptSending || event instanceof AttemptEnded;
+		return ofAttempt ? List.of(this.requests) : this.handlers;
+	}
+
+	private void sort(NodeAction action, long nowMillis, List<NodeAction> outgoing, Deque<NodeEvent> pending) {
 		if (action instanceof RaiseEvent raised) {
 			pending.add(raised.event());
 			return;
@@ -111,6 +126,7 @@
 			pending.add(new PeerMessageReceived(this.settings.self(), send.message()));
 			return;
 		}
+		this.timeline.describe(action, nowMillis).map(RecordEvent::new).ifPresent(outgoing::add);
 		outgoing.add(action);
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
@@ -174,6 +174,14 @@
 		assertRefused(Outcome.UNKNOWN, RefusalCode.DEADLINE_PASSED);
 	}
 
+	@Test
+	public void saysUnknownWhenLogIsUnavailableAfterJoining() {
+		this.fleet.arrive(FlowFixture.RELEASE).answerClaim(ClaimVerdict.HELD_BY_OTHER, Optional.of(FlowFixture.OTHER));
+		this.fleet.handle(new JoinEnded(FlowFixture.REQUEST, false, 0), 20);
+		this.fleet.answerClaim(ClaimVerdict.UNAVAILABLE, Optional.empty());
+		assertRefused(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE);
+	}
+
 	@Test
 	public void resumesBrokenStreamAtItsOffset() {
 		streamBytes(30);
--- a/mustardlane-core/src/test/java/org/mustardlane/core/membership/MembershipHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/membership/MembershipHandlerTests.java
@@ -16,10 +16,12 @@
 import org.mustardlane.core.event.NodeEvent;
 import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.PeerUnreachable;
 import org.mustardlane.core.event.RaiseEvent;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.Tick;
 import org.mustardlane.core.event.VmListRead;
+import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.model.membership.Ownership;
@@ -96,6 +98,16 @@
 		live().forEach((view) -> assertFalse(view.routers().containsKey(vm(0))));
 	}
 
+	@Test
+	public void unreachableRouterStaysDeadUntilItsHeartbeatGrows() {
+		run(SETTLED_MILLIS);
+		this.down.add(vm(1));
+		deliver(vm(0), new PeerUnreachable(vm(1), new CatalogueRelayAsk(1)));
+		assertFalse(this.views.get(vm(0)).routers().containsKey(vm(1)));
+		run(2000);
+		assertFalse(this.views.get(vm(0)).routers().containsKey(vm(1)));
+	}
+
 	@Test
 	public void takesReturningRouterBack() {
 		run(SETTLED_MILLIS);
