--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Fleet.java
@@ -345,7 +345,9 @@
 						"--operator-port", "0", "--metrics-port", "0", "--platform-url", this.platform.url(domain),
 						"--advertised-peer-port", Integer.toString(this.links.toRouter(vm, domain).port())));
 		args.addAll(this.settings.routerFlags());
-		ManagedProcess process = launch(vm, JavaCommand.of(ROUTER_HEAP_MEBIBYTES, ROUTER, args));
+		boolean isAlone = this.settings.routers() == 1;
+		ManagedProcess process = launch(vm, isAlone ? JavaCommand.optimised(ROUTER_HEAP_MEBIBYTES, ROUTER, args)
+				: JavaCommand.of(ROUTER_HEAP_MEBIBYTES, ROUTER, args));
 		this.links.addSource(process.pid(), domain);
 		return process;
 	}
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/JavaCommand.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/JavaCommand.java
@@ -12,14 +12,38 @@
 	private static final List<String> CHEAP_FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
 			"-Xshare:auto");
 
+	private static final List<String> OPTIMISED_FLAGS = List.of("-XX:+UseSerialGC");
+
 	private JavaCommand() {
 	}
 
+	/**
+	 * Returns the command line of a process of which many run.
+	 * @param heapMebibytes its largest heap
+	 * @param mainClass its main class
+	 * @param args its arguments
+	 * @return the command line
+	 */
 	static List<String> of(int heapMebibytes, String mainClass, List<String> args) {
+		return of(heapMebibytes, CHEAP_FLAGS, mainClass, args);
+	}
+
+	/**
+	 * Returns the command line of a process whose speed is measured.
+	 * @param heapMebibytes its largest heap
+	 * @param mainClass its main class
+	 * @param args its arguments
+	 * @return the command line
+	 */
+	static List<String> optimised(int heapMebibytes, String mainClass, List<String> args) {
+		return of(heapMebibytes, OPTIMISED_FLAGS, mainClass, args);
+	}
+
+	private static List<String> of(int heapMebibytes, List<String> flags, String mainClass, List<String> args) {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.add("-Xmx" + heapMebibytes + "m");
-		command.addAll(CHEAP_FLAGS);
+		command.addAll(flags);
 		command.add("-cp");
 		command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
 		command.add(mainClass);
