--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/ConnectionSources.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/ConnectionSources.java
@@ -62,6 +62,9 @@
 		for (Path table : TABLES) {
 			try {
 				for (String line : Files.readAllLines(table)) {
+					if (!line.contains(local) || !line.contains(remote)) {
+						continue;
+					}
 					String[] columns = line.trim().split("\\s+");
 					if (columns[LOCAL_COLUMN].endsWith(local) && columns[REMOTE_COLUMN].endsWith(remote)) {
 						return Optional.of(columns[INODE_COLUMN]);
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/fleet/Forwarder.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -37,7 +38,9 @@
 
 	private final Channel server;
 
-	private final Map<Channel, String> links = new ConcurrentHashMap<>();
+	private final Set<Pipe> pipes = ConcurrentHashMap.newKeySet();
+
+	private final Map<Channel, String> sourceOfNear = new ConcurrentHashMap<>();
 
 	private final Map<String, LinkState> statesBySource = new ConcurrentHashMap<>();
 
@@ -100,7 +103,7 @@
 	 */
 	public void set(LinkState wanted) {
 		this.state = wanted;
-		this.links.forEach(this::apply);
+		this.pipes.forEach(this::apply);
 	}
 
 	/**
@@ -110,21 +113,32 @@
 	 */
 	public void set(String source, LinkState wanted) {
 		this.statesBySource.put(source, wanted);
-		this.links.forEach(this::apply);
+		this.pipes.forEach(this::apply);
 	}
 
-	private LinkState stateOf(String source) {
+	/**
+	 * Returns what becomes of a connection; where it comes from is looked up only once a
+	 * source has a state of its own, since that is slow.
+	 * @param near the end of the connection that was accepted
+	 * @return the state
+	 */
+	private LinkState stateOf(SocketChannel near) {
+		if (this.statesBySource.isEmpty()) {
+			return this.state;
+		}
+		String source = this.sourceOfNear.computeIfAbsent(near,
+				(channel) -> this.sources.domainOf(port(), near.remoteAddress().getPort()));
 		LinkState wanted = this.statesBySource.getOrDefault(source, LinkState.OPEN);
 		return (wanted != LinkState.OPEN) ? wanted : this.state;
 	}
 
-	private void apply(Channel link, String source) {
-		LinkState wanted = stateOf(source);
+	private void apply(Pipe pipe) {
+		LinkState wanted = stateOf(pipe.near);
 		if (wanted == LinkState.RESET) {
-			reset(link);
+			reset(pipe.near);
 		}
 		else if (wanted == LinkState.OPEN) {
-			link.pipeline().fireUserEventTriggered(wanted);
+			pipe.resume();
 		}
 	}
 
@@ -139,12 +153,11 @@
 	@Override
 	public void close() {
 		this.server.close();
-		this.links.keySet().forEach(Channel::close);
+		this.pipes.forEach((pipe) -> pipe.near.close());
 	}
 
 	private void accept(SocketChannel near) {
-		String source = this.sources.domainOf(port(), near.remoteAddress().getPort());
-		if (stateOf(source) == LinkState.RESET) {
+		if (stateOf(near) == LinkState.RESET) {
 			reset(near);
 			return;
 		}
@@ -152,13 +165,13 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.AUTO_READ, false)
-			.handler(new Pipe(near, source));
+			.handler(new Pipe(near, near));
 		Channel far = bootstrap.connect("127.0.0.1", this.targetPort).addListener((connected) -> {
 			if (!connected.isSuccess()) {
 				reset(near);
 			}
 		}).channel();
-		near.pipeline().addLast(new Pipe(far, source));
+		near.pipeline().addLast(new Pipe(far, near));
 	}
 
 	private static void reset(Channel channel) {
@@ -173,18 +186,21 @@
 
 		private final Channel other;
 
-		private final String source;
+		private final SocketChannel near;
+
+		private volatile Optional<ChannelHandlerContext> open = Optional.empty();
 
 		private Optional<Object> held = Optional.empty();
 
-		Pipe(Channel other, String source) {
+		Pipe(Channel other, SocketChannel near) {
 			this.other = other;
-			this.source = source;
+			this.near = near;
 		}
 
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
-			Forwarder.this.links.put(context.channel(), this.source);
+			this.open = Optional.of(context);
+			Forwarder.this.pipes.add(this);
 			if (this.other.isActive()) {
 				context.read();
 				this.other.read();
@@ -202,17 +218,16 @@
 			context.executor().schedule(() -> pass(context, message), millis, TimeUnit.MILLISECONDS);
 		}
 
-		@Override
-		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			if (event == LinkState.OPEN) {
+		void resume() {
+			this.open.ifPresent((context) -> context.executor().execute(() -> {
 				Optional<Object> message = this.held;
 				this.held = Optional.empty();
 				message.ifPresent((bytes) -> pass(context, bytes));
-			}
+			}));
 		}
 
 		private void pass(ChannelHandlerContext context, Object message) {
-			if (stateOf(this.source) == LinkState.SILENT) {
+			if (stateOf(this.near) == LinkState.SILENT) {
 				this.held = Optional.of(message);
 				return;
 			}
@@ -228,7 +243,8 @@
 
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			Forwarder.this.links.remove(context.channel());
+			Forwarder.this.pipes.remove(this);
+			Forwarder.this.sourceOfNear.remove(this.near);
 			this.other.close();
 		}
 
