Bound the bodies held at once, wait for the last bytes of a drain, end cancelled attempts

A cancelled attempt whose answer was still being decoded never told its end (seen in TargetClientTests.cancellationClosesTheConnection under load): a part after the cancellation made the client end the exchange without an exception. Now parts are dropped and the end is told in every case. Claims that were answered keep only their answer, not their request.

--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -10,6 +10,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -58,12 +59,18 @@
 
 	private static final int HELD_ANSWER_BYTES = 262_144;
 
+	private static final int COPY_BYTES = 131_072;
+
+	private static final int ALL_BODIES_BYTES = 64 * 1024 * 1024;
+
 	private static final int TIMELINE_EVENTS = 20_000;
 
 	private static final int IO_THREADS = 2;
 
 	private static final int GRACE_MILLIS = 500;
 
+	private static final int FLUSH_POLL_MILLIS = 10;
+
 	private final RouterSettings settings;
 
 	private final RouterClock clock = new RouterClock();
@@ -75,6 +82,8 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(new DefaultThreadFactory("timer", true));
 
+	private final HashedWheelTimer timeouts = new HashedWheelTimer(new DefaultThreadFactory("timeouts", true));
+
 	private final RouterMetrics metrics = new RouterMetrics();
 
 	private final HybridClock hybridClock = new HybridClock();
@@ -97,6 +106,8 @@
 
 	private volatile boolean draining;
 
+	private volatile long drainDeadlineMillis;
+
 	/**
 	 * Creates a router that does not listen yet.
 	 * @param settings the settings
@@ -105,10 +116,10 @@
 		this.settings = settings;
 		this.stamp = new PeerStamp(settings.vm(), this.hybridClock, this.clock);
 		this.timeline = new TimelineBuffer(this.hybridClock, settings.vm(), settings.domain(), TIMELINE_EVENTS);
-		this.platform = new PlatformClient(settings.platformUrl(), this.loops);
-		this.targets = new TargetClient(this.loops, this.clock);
+		this.platform = new PlatformClient(settings.platformUrl(), this.loops, this.timeouts);
+		this.targets = new TargetClient(this.loops, this.timeouts, this.clock);
 		this.requests = new RequestActions(settings.vm(), this.targets,
-				(holder, requestId, reader) -> running().links().join(holder, requestId, reader), HELD_ANSWER_BYTES);
+				(holder, requestId, reader) -> running().links().join(holder, requestId, reader), COPY_BYTES);
 	}
 
 	// AsyncHttpClient accepts no newer kind of group.
@@ -197,8 +208,8 @@
 
 	private CallerLimits callerLimits() {
 		RouterSettings.Limits limits = this.settings.limits();
-		return new CallerLimits(limits.lineBytes(), limits.headerBytes(), limits.bodyBytes(), HELD_ANSWER_BYTES,
-				limits.idleMillis());
+		return new CallerLimits(limits.lineBytes(), limits.headerBytes(), limits.bodyBytes(), ALL_BODIES_BYTES,
+				HELD_ANSWER_BYTES, limits.idleMillis());
 	}
 
 	/**
@@ -217,6 +228,7 @@
 	public void drain(long deadlineMillis) {
 		long until = (deadlineMillis > 0) ? deadlineMillis : this.clock.nowMillis() + this.settings.drainMillis();
 		logger.info("Draining until {}", until);
+		this.drainDeadlineMillis = until;
 		this.draining = true;
 		submit(new DrainRequested(until));
 		this.timer.schedule(this.drained::countDown, Math.max(0, until - this.clock.nowMillis()),
@@ -229,7 +241,10 @@
 	 */
 	public void awaitDrained() throws InterruptedException {
 		this.drained.await();
-		// What was written last is still on its way to the sockets.
+		while (running().callers().openResponses() > 0 && this.clock.nowMillis() < this.drainDeadlineMillis) {
+			TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
+		}
+		// What was written last is still on its way to the other routers.
 		TimeUnit.MILLISECONDS.sleep(GRACE_MILLIS);
 	}
 
@@ -239,6 +254,7 @@
 		this.timer.shutdownNow();
 		closeQuietly(this.platform);
 		closeQuietly(this.targets);
+		this.timeouts.stop();
 		this.loops.shutdownGracefully(0, GRACE_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerRelay.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerRelay.java
@@ -20,7 +20,7 @@
  */
 public final class AnswerRelay {
 
-	private final AnswerReader caller;
+	private volatile AnswerReader caller;
 
 	private final int copyBytesLimit;
 
@@ -107,9 +107,11 @@
 	}
 
 	/**
-	 * Breaks joined requests off where the answer has not become whole.
+	 * Lets the caller go, and breaks joined requests off where the answer has not become
+	 * whole.
 	 */
 	public void close() {
+		this.caller = NoReader.INSTANCE;
 		synchronized (this) {
 			if (!this.finished && this.aborted.isEmpty()) {
 				this.aborted = Optional.of(JoinedReader.BROKEN);
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerConnection.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerConnection.java
@@ -71,6 +71,8 @@
 
 	private Optional<CallerResponse> response = Optional.empty();
 
+	private Optional<OpenResponses.Open> open = Optional.empty();
+
 	private ChannelHandlerContext context;
 
 	/**
@@ -154,10 +156,15 @@
 		}
 	}
 
-	private void arrived() {
+	private void arrived() throws ProtocolException {
 		CallerHeaders head = this.headers.orElseThrow();
 		byte[] bytes = this.body.toByteArray();
 		this.body = new ByteArrayOutputStream(0);
+		OpenResponses.Open begun = this.services.open().begin(bytes.length);
+		if (!begun.isAdmitted()) {
+			throw new ProtocolException(ProtocolError.ROUTER_FULL, "");
+		}
+		this.open = Optional.of(begun);
 		this.phase = Phase.ANSWERING;
 		RequestId id = this.services.requestIds().next();
 		CallerResponse answer = new CallerResponse(this.context.channel(), id, this.chunksAllowed,
@@ -194,7 +201,8 @@
 			closeAfter(message);
 			return;
 		}
-		this.context.writeAndFlush(message);
+		Optional<OpenResponses.Open> ending = this.open;
+		this.context.writeAndFlush(message).addListener((future) -> ending.ifPresent(OpenResponses.Open::end));
 		this.phase = Phase.IDLE;
 		this.context.executor().execute(this::takePipelined);
 	}
@@ -250,6 +258,7 @@
 		this.body = new ByteArrayOutputStream(0);
 		this.context.channel().config().setAutoRead(true);
 		this.context.writeAndFlush(message).addListener((future) -> {
+			this.open.ifPresent(OpenResponses.Open::end);
 			if (this.inputShutdown || !future.isSuccess()) {
 				this.context.close();
 				return;
@@ -327,6 +336,7 @@
 			answer.resume();
 		});
 		this.response = Optional.empty();
+		this.open.ifPresent(OpenResponses.Open::end);
 	}
 
 	@Override
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerServer.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerServer.java
@@ -54,7 +54,8 @@
 	 */
 	public static CallerServer start(InetSocketAddress address, EventLoopGroup loops, CallerListener listener,
 			RequestIds requestIds, CallerLimits limits, RouterClock clock, BooleanSupplier closing) throws IOException {
-		CallerServices services = new CallerServices(listener, requestIds, limits, clock, closing);
+		CallerServices services = new CallerServices(listener, requestIds, limits, clock, closing,
+				new OpenResponses(limits.allBodiesBytes()));
 		ChannelFuture bound = bootstrap(loops, services).bind(address).awaitUninterruptibly();
 		if (!bound.isSuccess()) {
 			throw new IOException("Can not listen for callers at " + address, bound.cause());
@@ -99,11 +100,11 @@
 	}
 
 	/**
-	 * Returns what one connection may use.
-	 * @return the limits
+	 * Returns how many responses have not been written to their end.
+	 * @return the number
 	 */
-	public CallerLimits limits() {
-		return this.services.limits();
+	public int openResponses() {
+		return this.services.open().count();
 	}
 
 	@Override
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerServices.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerServices.java
@@ -15,9 +15,10 @@
  * @param limits what one connection may use
  * @param clock the time
  * @param closing whether connections are to be closed after the present response
+ * @param open the responses that are being written
  */
 record CallerServices(CallerListener listener, RequestIds requestIds, CallerLimits limits, RouterClock clock,
-		BooleanSupplier closing) {
+		BooleanSupplier closing, OpenResponses open) {
 
 	/**
 	 * Whether bytes have arrived since the last whole message.
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/ProtocolError.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/ProtocolError.java
@@ -60,6 +60,11 @@
 	 */
 	ANSWER_TOO_LARGE(502, "The answer is too large for an HTTP/1.0 caller"),
 
+	/**
+	 * The router holds as many bodies as it may.
+	 */
+	ROUTER_FULL(503, "The router holds as many requests as it may"),
+
 	/**
 	 * The version of HTTP is not served.
 	 */
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/RefusalResponses.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/RefusalResponses.java
@@ -1,6 +1,8 @@
 package org.mustardlane.router.caller;
 
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -35,6 +37,9 @@
 	 */
 	private static final long UNCHANGED_RETRY_MILLIS = 3_600_000;
 
+	private static final Set<ProtocolError> PASSING = EnumSet.of(ProtocolError.IDLE_TIMEOUT,
+			ProtocolError.TRUNCATED_BODY, ProtocolError.ROUTER_FULL);
+
 	private RefusalResponses() {
 	}
 
@@ -57,8 +62,7 @@
 	 */
 	static FullHttpResponse of(ProtocolError error, Outcome outcome, String detail) {
 		String message = detail.isEmpty() ? error.message() : error.message() + ": " + detail;
-		long retryAfterMillis = (error == ProtocolError.IDLE_TIMEOUT || error == ProtocolError.TRUNCATED_BODY)
-				? MILLIS_PER_SECOND : 0;
+		long retryAfterMillis = PASSING.contains(error) ? MILLIS_PER_SECOND : 0;
 		return response(error.status(), outcome, error.name(), message, retryAfterMillis);
 	}
 
--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestActions.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestActions.java
@@ -26,6 +26,7 @@
 import org.mustardlane.core.model.execution.AttemptKind;
 import org.mustardlane.core.model.execution.CallerRequest;
 import org.mustardlane.router.answer.AnswerReader;
+import org.mustardlane.router.answer.AnswerRelay;
 import org.mustardlane.router.caller.CallerListener;
 import org.mustardlane.router.caller.CallerResponse;
 import org.mustardlane.router.caller.RequestPayload;
@@ -123,9 +124,9 @@
 	 * @return whether the request is known
 	 */
 	public boolean serveJoin(RequestId requestId, AnswerReader reader) {
-		Optional<RequestExchange> holder = this.requests.findForJoin(requestId);
-		holder.ifPresent((exchange) -> exchange.relay().join(reader));
-		return holder.isPresent();
+		Optional<AnswerRelay> answer = this.requests.findForJoin(requestId);
+		answer.ifPresent((relay) -> relay.join(reader));
+		return answer.isPresent();
 	}
 
 	private void start(StartAttempt start) {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestTable.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestTable.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.router.answer.AnswerRelay;
 
 /**
  * The requests in flight, and for a while the claimed ones that have been answered, so
@@ -20,7 +21,7 @@
 
 	private final Map<RequestId, RequestExchange> inFlight = new ConcurrentHashMap<>();
 
-	private final Map<RequestId, RequestExchange> answered = new LinkedHashMap<>();
+	private final Map<RequestId, AnswerRelay> answered = new LinkedHashMap<>();
 
 	void add(RequestExchange exchange) {
 		this.inFlight.put(exchange.id(), exchange);
@@ -30,11 +31,11 @@
 		return Optional.ofNullable(this.inFlight.get(id));
 	}
 
-	Optional<RequestExchange> findForJoin(RequestId id) {
-		return find(id).or(() -> findAnswered(id));
+	Optional<AnswerRelay> findForJoin(RequestId id) {
+		return find(id).map(RequestExchange::relay).or(() -> findAnswered(id));
 	}
 
-	private Optional<RequestExchange> findAnswered(RequestId id) {
+	private Optional<AnswerRelay> findAnswered(RequestId id) {
 		synchronized (this.answered) {
 			return Optional.ofNullable(this.answered.get(id));
 		}
@@ -52,7 +53,7 @@
 
 	private void keepAnswered(RequestExchange exchange) {
 		synchronized (this.answered) {
-			this.answered.put(exchange.id(), exchange);
+			this.answered.put(exchange.id(), exchange.relay());
 			if (this.answered.size() > MOST_ANSWERED) {
 				this.answered.remove(this.answered.keySet().iterator().next());
 			}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
@@ -2,6 +2,10 @@
 
 import java.util.Optional;
 
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import org.mustardlane.core.event.AttemptBytesReceived;
 import org.mustardlane.core.event.AttemptEnded;
 import org.mustardlane.core.event.AttemptHeadReceived;
@@ -25,6 +29,8 @@
  */
 final class RunningAttempt implements AttemptObserver {
 
+	private static final Logger logger = LogManager.getLogger(RunningAttempt.class);
+
 	private final StartAttempt start;
 
 	private final RequestExchange exchange;
@@ -114,6 +120,13 @@
 		this.events.submit(new AttemptBytesReceived(this.start.requestId(), this.start.attempt(), totalBytes));
 	}
 
+	private void log(AttemptEnd end, String detail) {
+		try (CloseableThreadContext.Instance context = CloseableThreadContext.put("requestId",
+				this.start.requestId().value())) {
+			logger.info("Attempt {} at {} ended {}: {}", this.start.attempt(), this.start.target().id(), end, detail);
+		}
+	}
+
 	@Override
 	public void ended(AttemptEnd end, String detail) {
 		Optional<StoredAnswer> kept = (end == AttemptEnd.WHOLE && this.exchange.keptBytesLimit() > 0)
@@ -121,6 +134,9 @@
 		if (end == AttemptEnd.WHOLE) {
 			this.exchange.relay().finishJoined();
 		}
+		else {
+			log(end, detail);
+		}
 		this.events.submit(new AttemptEnded(this.start.requestId(), this.start.attempt(), end, detail, kept));
 		this.onEnd.run();
 	}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/metrics/RouterMetrics.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/metrics/RouterMetrics.java
@@ -1,5 +1,7 @@
 package org.mustardlane.router.metrics;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
@@ -27,6 +29,8 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	private final Map<Class<? extends NodeAction>, Counter> actions = new ConcurrentHashMap<>();
+
 	/**
 	 * Creates the metrics.
 	 */
@@ -35,12 +39,16 @@
 		new ProcessorMetrics().bindTo(this.registry);
 	}
 
+	private Counter counter(Class<? extends NodeAction> kind) {
+		return Counter.builder(ACTIONS).tag("kind", kind.getSimpleName()).register(this.registry);
+	}
+
 	/**
 	 * Counts an action of the node.
 	 * @param action the action
 	 */
 	public void count(NodeAction action) {
-		Counter.builder(ACTIONS).tag("kind", action.getClass().getSimpleName()).register(this.registry).increment();
+		this.actions.computeIfAbsent(action.getClass(), this::counter).increment();
 		if (action instanceof RefuseRequest refuse) {
 			Counter.builder(REFUSALS)
 				.tag("code", refuse.refusal().code().name())
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerLinks.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerLinks.java
@@ -35,6 +35,8 @@
 
 	private final Function<VmId, Optional<PeerAddress>> addresses;
 
+	private final EventLoopGroup loops;
+
 	private final PeerDialer dialer;
 
 	private final Map<VmId, DialledPeer> dialled = new ConcurrentHashMap<>();
@@ -53,6 +55,7 @@
 		this.stamp = stamp;
 		this.events = events;
 		this.addresses = addresses;
+		this.loops = loops;
 		this.dialer = new PeerDialer(identity, loops);
 	}
 
@@ -89,10 +92,17 @@
 		}
 		PeerLink link = new PeerLink(this.stamp, (message) -> this.events.submit(new PeerUnreachable(peer, message)));
 		DialledPeer connection = new DialledPeer(address, this.dialer.dial(address), link);
-		connection.open(new FrameReceiver(this.stamp, this.events, Optional.of(peer), link::close));
+		connection.open(new FrameReceiver(this.stamp, this.events, Optional.of(peer), () -> ended(peer, connection)));
 		return connection;
 	}
 
+	private void ended(VmId peer, DialledPeer connection) {
+		connection.link().close();
+		// Not at once: the end may be told while the entry is being made.
+		this.loops.execute(() -> this.dialled.remove(peer, connection));
+		connection.channel().shutdown();
+	}
+
 	/**
 	 * Fetches an answer from another router.
 	 * @param holder the router
--- a/mustardlane-router/src/main/java/org/mustardlane/router/platform/PlatformClient.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/platform/PlatformClient.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.Timer;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
@@ -55,10 +56,12 @@
 	 * Creates the client.
 	 * @param baseUrl address of the platform
 	 * @param loops threads of the connections
+	 * @param timer runs timeouts
 	 */
-	public PlatformClient(String baseUrl, EventLoopGroup loops) {
+	public PlatformClient(String baseUrl, EventLoopGroup loops, Timer timer) {
 		this.baseUrl = baseUrl.endsWith("/") ? baseUrl.substring(0, baseUrl.length() - 1) : baseUrl;
 		this.client = new DefaultAsyncHttpClient(new DefaultAsyncHttpClientConfig.Builder().setEventLoopGroup(loops)
+			.setNettyTimer(timer)
 			.setMaxRequestRetry(0)
 			.setFollowRedirect(false)
 			.setCookieStore(null)
--- a/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
@@ -30,6 +30,8 @@
 
 	private static final String GENERATION_ID = "X-Generation-Id";
 
+	private static final String CANCELLED = "cancelled";
+
 	private static final int QUEUED_BYTES_LIMIT = 32_768;
 
 	private final AttemptRequest request;
@@ -95,9 +97,14 @@
 	 * not ended is dropped with its connection.
 	 */
 	public void cancel() {
+		boolean dropped;
 		synchronized (this) {
 			this.cancelled = true;
 			this.parts.clear();
+			dropped = this.received;
+		}
+		if (dropped) {
+			end(AttemptEnd.BROKEN, CANCELLED);
 		}
 		this.connection.close();
 	}
@@ -160,10 +167,7 @@
 	public State onBodyPartReceived(HttpResponseBodyPart bodyPart) {
 		byte[] bytes = bodyPart.getBodyPartBytes();
 		synchronized (this) {
-			if (this.cancelled) {
-				return State.ABORT;
-			}
-			if (bytes.length == 0 || this.ended) {
+			if (bytes.length == 0 || this.ended || this.cancelled) {
 				return State.CONTINUE;
 			}
 			this.parts.add(bytes);
@@ -182,11 +186,24 @@
 		return State.CONTINUE;
 	}
 
+	/**
+	 * Runs before the connection goes back to the pool.
+	 */
+	@Override
+	public void onConnectionOffer(Channel channel) {
+		this.connection.release();
+	}
+
 	@Override
 	public Void onCompleted() {
 		this.connection.release();
+		boolean dropped;
 		synchronized (this) {
 			this.received = true;
+			dropped = this.cancelled;
+		}
+		if (dropped) {
+			end(AttemptEnd.BROKEN, CANCELLED);
 		}
 		giveOut();
 		return null;
--- a/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetClient.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.util.Timer;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
@@ -42,12 +43,13 @@
 	/**
 	 * Creates the client.
 	 * @param loops threads of the connections
+	 * @param timer runs timeouts
 	 * @param clock the time
 	 */
-	public TargetClient(EventLoopGroup loops, RouterClock clock) {
+	public TargetClient(EventLoopGroup loops, Timer timer, RouterClock clock) {
 		this.clock = clock;
-		this.pooled = new DefaultAsyncHttpClient(config(loops, true).build());
-		this.unpooled = new DefaultAsyncHttpClient(config(loops, false).build());
+		this.pooled = new DefaultAsyncHttpClient(config(loops, true).setNettyTimer(timer).build());
+		this.unpooled = new DefaultAsyncHttpClient(config(loops, false).setNettyTimer(timer).build());
 	}
 
 	private static DefaultAsyncHttpClientConfig.Builder config(EventLoopGroup loops, boolean keepAlive) {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetConnection.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetConnection.java
@@ -43,9 +43,10 @@
 	}
 
 	/**
-	 * Reads on and lets the connection be used for other requests.
+	 * Reads on and lets the connection be used for other requests, which a later close no
+	 * longer concerns.
 	 */
-	void release() {
+	synchronized void release() {
 		resume();
 		this.channel = Optional.empty();
 	}
@@ -53,7 +54,7 @@
 	/**
 	 * Closes the connection.
 	 */
-	void close() {
+	synchronized void close() {
 		this.channel.ifPresent(Channel::close);
 	}
 
--- a/mustardlane-router/src/test/java/org/mustardlane/router/caller/CallerServerTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/caller/CallerServerTests.java
@@ -269,6 +269,25 @@
 		}
 	}
 
+	@Test
+	public void requestIsRefusedWhileTooManyBodiesAreHeld() throws Exception {
+		String large = RawCaller.post("x".repeat(CallerFixture.BODY_BYTES), "Connection: close");
+		try (RawCaller first = this.fixture.connect(); RawCaller second = this.fixture.connect()) {
+			first.send(large);
+			FakeListener.Arrived arrived = this.fixture.listener().take();
+			String refusal = second.send(large).readToEnd();
+			assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+			assertTrue(refusal.contains("ROUTER_FULL"), refusal);
+			arrived.answerWith("world");
+			assertTrue(first.readToEnd().endsWith("world"));
+		}
+		try (RawCaller third = this.fixture.connect()) {
+			third.send(large);
+			this.fixture.listener().take().answerWith("again");
+			assertTrue(third.readToEnd().endsWith("again"));
+		}
+	}
+
 	@Test
 	public void idleCallerInMidRequestGetsATimeout() throws Exception {
 		try (CallerFixture impatient = new CallerFixture(50); RawCaller caller = impatient.connect()) {
--- a/mustardlane-router/src/test/java/org/mustardlane/router/exchange/RequestActionsTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/exchange/RequestActionsTests.java
@@ -9,6 +9,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.HashedWheelTimer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -77,6 +78,8 @@
 
 	private final Map<VmId, RequestId> remoteJoins = new ConcurrentHashMap<>();
 
+	private final HashedWheelTimer timer = new HashedWheelTimer();
+
 	private ScriptedNode node;
 
 	private EventLoopGroup loops;
@@ -94,7 +97,7 @@
 	public void start() throws IOException {
 		this.node = new ScriptedNode();
 		this.loops = new NioEventLoopGroup(2);
-		this.targets = new TargetClient(this.loops, this.clock);
+		this.targets = new TargetClient(this.loops, this.timer, this.clock);
 		this.requests = new RequestActions(SELF, this.targets, (holder, requestId, reader) -> {
 			this.remoteJoins.put(holder, requestId);
 			reader.abort(REFUSAL);
@@ -103,7 +106,8 @@
 		this.workers = new WorkerPool(this.node, this.clock, actions, 2);
 		this.requests.register(actions, this.workers);
 		this.server = CallerServer.start(new InetSocketAddress("127.0.0.1", 0), this.loops, this.requests,
-				new RequestIds(SELF, 0), new CallerLimits(4096, 4096, 4096, 64, 60_000), this.clock, () -> false);
+				new RequestIds(SELF, 0), new CallerLimits(4096, 4096, 4096, 65_536, 64, 60_000), this.clock,
+				() -> false);
 	}
 
 	@AfterMethod(alwaysRun = true)
--- a/mustardlane-router/src/test/java/org/mustardlane/router/platform/PlatformClientTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/platform/PlatformClientTests.java
@@ -9,6 +9,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.HashedWheelTimer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -47,6 +48,8 @@
 
 	private final List<NodeEvent> events = new CopyOnWriteArrayList<>();
 
+	private final HashedWheelTimer timeouts = new HashedWheelTimer();
+
 	private EventLoopGroup loops;
 
 	private ScheduledExecutorService timer;
@@ -66,7 +69,7 @@
 	}
 
 	private LogAppendEnded append(String url) throws Exception {
-		try (PlatformClient client = new PlatformClient(url, this.loops)) {
+		try (PlatformClient client = new PlatformClient(url, this.loops, this.timeouts)) {
 			return client.append(APPEND).get(30, TimeUnit.SECONDS);
 		}
 	}
@@ -111,7 +114,7 @@
 			case 3 -> records(6, 6, second.replace("\"\"", "\"!\""));
 			case 4 -> records(6, 6, second);
 			default -> records(6, 6, "");
-		}); PlatformClient client = new PlatformClient(platform.url(), this.loops)) {
+		}); PlatformClient client = new PlatformClient(platform.url(), this.loops, this.timeouts)) {
 			ActionTable actions = new ActionTable();
 			new StreamFollowers(client, this.events::add, this.timer).register(actions);
 			actions.execute(new FollowStream(StreamName.ORDERS, 4));
@@ -134,7 +137,7 @@
 	public void unchangedVmListIsReadOnce() throws IOException {
 		try (FakePlatform platform = new FakePlatform(
 				(number, call) -> (number == 1) ? new Answer(200, VMS) : new Answer(304, ""));
-				PlatformClient client = new PlatformClient(platform.url(), this.loops)) {
+				PlatformClient client = new PlatformClient(platform.url(), this.loops, this.timeouts)) {
 			VmListPoller poller = new VmListPoller(client, this.events::add);
 			poller.poll();
 			await().until(() -> !this.events.isEmpty());
@@ -151,7 +154,7 @@
 	public void brokenVmListIsPassedOver() throws IOException {
 		try (FakePlatform platform = new FakePlatform(
 				(number, call) -> new Answer(200, (number == 1) ? VMS.replace("LEAVING", "DANCING") : VMS));
-				PlatformClient client = new PlatformClient(platform.url(), this.loops)) {
+				PlatformClient client = new PlatformClient(platform.url(), this.loops, this.timeouts)) {
 			VmListPoller poller = new VmListPoller(client, this.events::add);
 			poller.poll();
 			await().until(() -> platform.calls().size() == 1);
--- a/mustardlane-router/src/test/java/org/mustardlane/router/target/TargetClientTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/target/TargetClientTests.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.HashedWheelTimer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -47,6 +48,8 @@
 
 	private final AtomicLong nowMillis = new AtomicLong(1000);
 
+	private final HashedWheelTimer timer = new HashedWheelTimer();
+
 	private EventLoopGroup loops;
 
 	private TargetClient client;
@@ -56,7 +59,7 @@
 	public void start() {
 		this.nowMillis.set(1000);
 		this.loops = new NioEventLoopGroup(2);
-		this.client = new TargetClient(this.loops, new RouterClock(this.nowMillis::get));
+		this.client = new TargetClient(this.loops, this.timer, new RouterClock(this.nowMillis::get));
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -244,6 +247,20 @@
 		}
 	}
 
+	@Test
+	public void cancellationOfAnAnswerThatHasArrivedEndsIt() throws Exception {
+		try (FakeTarget target = answering(SERVICE + "hello")) {
+			AttemptRequest request = request(target.port(), TargetKind.SERVICE, AttemptKind.FRESH, 0);
+			RecordingObserver observer = new RecordingObserver();
+			TargetAttempt attempt = this.client.prepare(request, observer);
+			this.client.send(request, attempt);
+			observer.head();
+			attempt.cancel();
+			assertEquals(observer.end(), AttemptEnd.BROKEN);
+			assertEquals(observer.bodyBytes(), 0);
+		}
+	}
+
 	@Test
 	public void answerIsReadNoFurtherThanItsReaderAllows() throws Exception {
 		int chunks = 40_000;
