--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -43,6 +43,8 @@
 
 	private static final long JOIN_AGAIN_MILLIS = 200;
 
+	private static final int MOST_JOINS = 3;
+
 	private static final int SERVER_ERROR_STATUS = 500;
 
 	private static final StoredAnswer TOO_LARGE = new StoredAnswer(0, "", new byte[0]);
@@ -57,7 +59,7 @@
 
 	private boolean joining;
 
-	private boolean joinedBefore;
+	private int joins;
 
 	private boolean callerServed;
 
@@ -115,7 +117,7 @@
 	}
 
 	private List<NodeAction> claimUnavailable(long retryAfterMillis) {
-		if (this.joinedBefore) {
+		if (joinedBefore()) {
 			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the router that holds the claim is gone",
 					RETRY_AFTER_MILLIS);
 		}
@@ -123,6 +125,10 @@
 				Math.max(1, retryAfterMillis));
 	}
 
+	private boolean joinedBefore() {
+		return this.joins > 0;
+	}
+
 	private boolean isClaiming() {
 		return isCallerWaiting() && !this.claimHeld && !this.joining;
 	}
@@ -143,7 +149,7 @@
 			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request is claimed", RETRY_AFTER_MILLIS);
 		}
 		this.joining = true;
-		this.joinedBefore = true;
+		this.joins++;
 		return List.of(new JoinAnswer(this.accepted.id(), answer.holderVm().get(), answer.holderRequestId().get()));
 	}
 
@@ -174,6 +180,9 @@
 		if (event.deliveredBytes() > 0) {
 			return abort(RefusalCode.HOLDER_GONE, "the router that answers is gone");
 		}
+		if (this.joins >= MOST_JOINS) {
+			return claimUnavailable(RETRY_AFTER_MILLIS);
+		}
 		// The holder may have released its claim, or its completion may be in the log by
 		// now.
 		this.claimSeeker.ifPresent((seeker) -> seeker.askAgainAt(nowMillis + JOIN_AGAIN_MILLIS));
@@ -377,7 +386,7 @@
 
 	private List<NodeAction> giveUp(RefusalCode code, String message, long retryAfterMillis, FlowContext context,
 			long nowMillis) {
-		boolean run = this.attempts.mayHaveRun() || this.joinedBefore;
+		boolean run = this.attempts.mayHaveRun() || joinedBefore();
 		this.joining = false;
 		boolean keepRunning = run && !this.accepted.entry().idempotent();
 		List<NodeAction> cancelled = keepRunning ? List.of() : this.attempts.cancelAll(context, nowMillis);
--- a/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
@@ -182,6 +182,16 @@
 		assertRefused(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE);
 	}
 
+	@Test
+	public void saysUnknownAtOnceWhenHolderStaysGone() {
+		this.fleet.arrive(FlowFixture.RELEASE);
+		for (int join = 0; join < 3; join++) {
+			this.fleet.answerClaim(ClaimVerdict.HELD_BY_OTHER, Optional.of(FlowFixture.OTHER));
+			this.fleet.handle(new JoinEnded(FlowFixture.REQUEST, false, 0), 20);
+		}
+		assertRefused(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE);
+	}
+
 	@Test
 	public void resumesBrokenStreamAtItsOffset() {
 		streamBytes(30);
