--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -43,6 +43,8 @@
 
 	private static final long JOIN_AGAIN_MILLIS = 200;
 
+	private static final int MOST_JOINS = 3;
+
 	private static final int SERVER_ERROR_STATUS = 500;
 
 	private static final StoredAnswer TOO_LARGE = new StoredAnswer(0, "", new byte[0]);
@@ -57,7 +59,7 @@
 
 	private boolean joining;
 
-	private boolean joinedBefore;
+	private int joins;
 
 	private boolean callerServed;
 
@@ -107,14 +109,26 @@
 			case BODY_DIFFERS:
 				return refuse(Outcome.NOT_RUN, RefusalCode.KEY_REUSED, "the key was used with another body", 0);
 			case UNAVAILABLE:
-				return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
-						Math.max(1, answer.retryAfterMillis()));
+				return claimUnavailable(answer.retryAfterMillis());
 			default:
 				seeker.ownerLost(nowMillis);
 				return List.of();
 		}
 	}
 
+	private List<NodeAction> claimUnavailable(long retryAfterMillis) {
+		if (joinedBefore()) {
+			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the router that holds the claim is gone",
+					RETRY_AFTER_MILLIS);
+		}
+		return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
+				Math.max(1, retryAfterMillis));
+	}
+
+	private boolean joinedBefore() {
+		return this.joins > 0;
+	}
+
 	private boolean isClaiming() {
 		return isCallerWaiting() && !this.claimHeld && !this.joining;
 	}
@@ -135,7 +149,7 @@
 			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request is claimed", RETRY_AFTER_MILLIS);
 		}
 		this.joining = true;
-		this.joinedBefore = true;
+		this.joins++;
 		return List.of(new JoinAnswer(this.accepted.id(), answer.holderVm().get(), answer.holderRequestId().get()));
 	}
 
@@ -166,6 +180,9 @@
 		if (event.deliveredBytes() > 0) {
 			return abort(RefusalCode.HOLDER_GONE, "the router that answers is gone");
 		}
+		if (this.joins >= MOST_JOINS) {
+			return claimUnavailable(RETRY_AFTER_MILLIS);
+		}
 		// The holder may have released its claim, or its completion may be in the log by
 		// now.
 		this.claimSeeker.ifPresent((seeker) -> seeker.askAgainAt(nowMillis + JOIN_AGAIN_MILLIS));
@@ -334,8 +351,7 @@
 		if (!seeker.isPatienceOver(nowMillis)) {
 			return seeker.tick(context, nowMillis);
 		}
-		return giveUp(RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed in time", RETRY_AFTER_MILLIS,
-				context, nowMillis);
+		return Actions.concat(releaseClaim(context), claimUnavailable(RETRY_AFTER_MILLIS));
 	}
 
 	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
@@ -370,7 +386,7 @@
 
 	private List<NodeAction> giveUp(RefusalCode code, String message, long retryAfterMillis, FlowContext context,
 			long nowMillis) {
-		boolean run = this.attempts.mayHaveRun() || this.joinedBefore;
+		boolean run = this.attempts.mayHaveRun() || joinedBefore();
 		this.joining = false;
 		boolean keepRunning = run && !this.accepted.entry().idempotent();
 		List<NodeAction> cancelled = keepRunning ? List.of() : this.attempts.cancelAll(context, nowMillis);
--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
@@ -85,12 +85,17 @@
 
 	@When("I cut {string} from {string}")
 	public void cut(String one, String other) {
-		this.world.fleet().link(one, other, LinkState.SILENT);
+		this.world.fleet().links().set(one, other, LinkState.SILENT);
 	}
 
 	@When("I join {string} and {string}")
 	public void join(String one, String other) {
-		this.world.fleet().link(one, other, LinkState.OPEN);
+		this.world.fleet().links().set(one, other, LinkState.OPEN);
+	}
+
+	@When("the link to {word} is {word}")
+	public void linkTarget(String target, String state) {
+		this.world.fleet().links().setTarget(target, LinkState.valueOf(state));
 	}
 
 	@When("the platform has the faults {}")
