--- /dev/null
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/peer/FakeReader.java
@@ -0,0 +1,39 @@
+package org.mustardlane.router.peer;
+
+import org.mustardlane.core.model.execution.Refusal;
+import org.mustardlane.router.answer.AnswerHead;
+import org.mustardlane.router.answer.AnswerReader;
+
+/**
+ * Writes down what it is given.
+ */
+final class FakeReader implements AnswerReader {
+
+	private final StringBuffer log = new StringBuffer();
+
+	@Override
+	public void begin(AnswerHead head) {
+		this.log.append("begin ").append(head.status()).append(' ').append(head.contentType()).append(' ');
+	}
+
+	@Override
+	public void write(byte[] part, Runnable ready) {
+		this.log.append(new String(part));
+		ready.run();
+	}
+
+	@Override
+	public void finish() {
+		this.log.append(" finish");
+	}
+
+	@Override
+	public void abort(Refusal refusal) {
+		this.log.append("abort");
+	}
+
+	String log() {
+		return this.log.toString();
+	}
+
+}
--- a/mustardlane-router/src/test/java/org/mustardlane/router/peer/PeerLinksTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/peer/PeerLinksTests.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
@@ -22,7 +25,10 @@
 import org.mustardlane.core.event.PeerUnreachable;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.message.CatalogueRelayAsk;
+import org.mustardlane.core.model.common.RequestId;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.router.answer.AnswerHead;
+import org.mustardlane.router.answer.AnswerRelay;
 import org.mustardlane.router.worker.ActionTable;
 
 import static org.awaitility.Awaitility.await;
@@ -35,6 +41,8 @@
 
 	private static final VmId OTHER = new VmId("other");
 
+	private static final RequestId JOINED = new RequestId("r-1");
+
 	private final List<NodeEvent> atOther = new CopyOnWriteArrayList<>();
 
 	private final List<NodeEvent> atSelf = new CopyOnWriteArrayList<>();
@@ -54,9 +62,9 @@
 		this.atSelf.clear();
 		this.addresses.clear();
 		this.loops = new NioEventLoopGroup(2);
-		this.links = new PeerLinks(new RecordingStamp("self"), this.atSelf::add,
-				(vm) -> Optional.ofNullable(this.addresses.get(vm)), Optional.empty(), this.loops);
-		this.links.register(this.actions);
+		this.links = new PeerLinks(new RecordingStamp("self"), this.atSelf::add, (vm) -> Optional.empty(),
+				Optional.empty(), this.loops);
+		restartLinks(Optional.empty());
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -65,9 +73,29 @@
 		this.loops.shutdownGracefully();
 	}
 
+	private void restartLinks(Optional<TlsIdentity> identity) throws IOException {
+		this.links.close();
+		this.links = new PeerLinks(new RecordingStamp("self"), this.atSelf::add,
+				(vm) -> Optional.ofNullable(this.addresses.get(vm)), identity, this.loops);
+		this.links.register(this.actions);
+	}
+
+	private static TlsIdentity tls(String name) throws URISyntaxException {
+		Path directory = Path.of(PeerLinksTests.class.getResource("/tls").toURI());
+		return new TlsIdentity(directory.resolve(name + ".crt"), directory.resolve(name + ".key"),
+				directory.resolve("ca.crt"));
+	}
+
+	private static void nothing() {
+	}
+
 	private GrpcServer serve(int port) throws IOException {
-		GrpcServer server = GrpcServer.start(new InetSocketAddress("127.0.0.1", port), Optional.empty(), this.loops,
-				new PeerService(new RecordingStamp("other"), this.atOther::add, (requestId, reader) -> false));
+		return serve(port, Optional.empty(), (requestId, reader) -> false);
+	}
+
+	private GrpcServer serve(int port, Optional<TlsIdentity> identity, LocalJoins joins) throws IOException {
+		GrpcServer server = GrpcServer.start(new InetSocketAddress("127.0.0.1", port), identity, this.loops,
+				new PeerService(new RecordingStamp("other"), this.atOther::add, joins));
 		this.addresses.put(OTHER, new PeerAddress("127.0.0.1", server.port()));
 		return server;
 	}
@@ -109,6 +137,75 @@
 		assertEquals(this.atSelf, List.of(new PeerUnreachable(OTHER, new CatalogueRelayAsk(1))));
 	}
 
+	@Test
+	public void answerOfAnotherRouterIsFetchedWhole() throws IOException {
+		AnswerRelay relay = new AnswerRelay(new FakeReader(), 1000);
+		try (GrpcServer server = serve(0, Optional.empty(), (requestId, reader) -> {
+			relay.join(reader);
+			return requestId.equals(JOINED);
+		})) {
+			FakeReader reader = new FakeReader();
+			this.links.join(OTHER, JOINED, reader);
+			relay.begin(new AnswerHead(201, "text/plain", OptionalLong.empty()));
+			relay.write("one ".getBytes(), PeerLinksTests::nothing);
+			relay.write("two".getBytes(), PeerLinksTests::nothing);
+			relay.finish();
+			await().until(() -> reader.log().endsWith("finish"));
+			assertEquals(reader.log(), "begin 201 text/plain one two finish");
+		}
+	}
+
+	@Test
+	public void answerThatBreaksElsewhereIsBrokenHere() throws IOException {
+		AnswerRelay relay = new AnswerRelay(new FakeReader(), 1000);
+		relay.begin(new AnswerHead(200, "text/plain", OptionalLong.empty()));
+		relay.write("one ".getBytes(), PeerLinksTests::nothing);
+		try (GrpcServer server = serve(0, Optional.empty(), (requestId, reader) -> {
+			relay.join(reader);
+			return true;
+		})) {
+			FakeReader reader = new FakeReader();
+			this.links.join(OTHER, JOINED, reader);
+			await().until(() -> reader.log().endsWith("one "));
+			relay.close();
+			await().until(() -> reader.log().endsWith("abort"));
+		}
+	}
+
+	@Test
+	public void unknownAnswerAndUnknownRouterBreakTheJoin() throws IOException {
+		FakeReader nowhere = new FakeReader();
+		this.links.join(OTHER, JOINED, nowhere);
+		assertEquals(nowhere.log(), "abort");
+		try (GrpcServer server = serve(0)) {
+			FakeReader unknown = new FakeReader();
+			this.links.join(OTHER, JOINED, unknown);
+			await().until(() -> unknown.log().equals("abort"));
+		}
+	}
+
+	@Test
+	public void trustedRouterIsServedOverTls() throws Exception {
+		try (GrpcServer server = serve(0, Optional.of(tls("router")), (requestId, reader) -> false)) {
+			restartLinks(Optional.of(tls("router")));
+			send(1);
+			await().until(() -> this.atOther.contains(received(1)));
+		}
+	}
+
+	@Test
+	public void strangerAndPlainTextAreNotServedOverTls() throws Exception {
+		try (GrpcServer server = serve(0, Optional.of(tls("router")), (requestId, reader) -> false)) {
+			restartLinks(Optional.of(tls("stranger")));
+			send(1);
+			await().until(() -> this.atSelf.size() == 1);
+			restartLinks(Optional.empty());
+			send(2);
+			await().until(() -> this.atSelf.size() == 2);
+			assertEquals(this.atOther, List.of());
+		}
+	}
+
 	@Test
 	public void linkIsDialledAgainAfterRestartOfPeer() throws IOException {
 		int port;
--- a/mustardlane-router/src/test/java/org/mustardlane/router/platform/FakePlatform.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/platform/FakePlatform.java
@@ -12,7 +12,7 @@
 /**
  * A platform that answers each call with what the test has prepared.
  */
-final class FakePlatform implements AutoCloseable {
+public final class FakePlatform implements AutoCloseable {
 
 	private final HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
 
@@ -20,13 +20,13 @@
 
 	private final Script script;
 
-	FakePlatform(Script script) throws IOException {
+	public FakePlatform(Script script) throws IOException {
 		this.script = script;
 		this.server.createContext("/", this::serve);
 		this.server.start();
 	}
 
-	String url() {
+	public String url() {
 		return "http://127.0.0.1:" + this.server.getAddress().getPort();
 	}
 
@@ -57,7 +57,7 @@
 	 * Says what the platform answers.
 	 */
 	@FunctionalInterface
-	interface Script {
+	public interface Script {
 
 		/**
 		 * Answers a call.
@@ -75,7 +75,7 @@
 	 * @param status HTTP status, 0 to close the connection without one
 	 * @param json the body
 	 */
-	record Answer(int status, String json) {
+	public record Answer(int status, String json) {
 
 	}
 
