--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterClient.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/RouterClient.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -9,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import javax.net.ssl.SSLHandshakeException;
+
 import io.grpc.ChannelCredentials;
 import io.grpc.Grpc;
 import io.grpc.InsecureChannelCredentials;
@@ -73,10 +76,6 @@
 			.build();
 	}
 
-	RouterAddress address() {
-		return this.address;
-	}
-
 	StatusAnswer status(long timeoutMillis) throws RouterException {
 		return call(timeoutMillis, (stub) -> stub.status(StatusRequest.getDefaultInstance()));
 	}
@@ -113,7 +112,7 @@
 				.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS));
 		}
 		catch (StatusRuntimeException ex) {
-			throw new RouterException(this.address, reason(ex.getStatus()), !isRefusedConnection(ex),
+			throw new RouterException(this.address, reason(ex.getStatus()), !isNotConnected(ex),
 					ex.getStatus().getCode() == Status.Code.NOT_FOUND);
 		}
 	}
@@ -127,9 +126,10 @@
 		};
 	}
 
-	private static boolean isRefusedConnection(StatusRuntimeException failure) {
+	private static boolean isNotConnected(StatusRuntimeException failure) {
+		Throwable cause = failure.getStatus().getCause();
 		return failure.getStatus().getCode() == Status.Code.UNAVAILABLE
-				&& failure.getStatus().getCause() instanceof java.net.ConnectException;
+				&& (cause instanceof ConnectException || cause instanceof SSLHandshakeException);
 	}
 
 	@Override
--- a/mustardlane-cli/src/test/java/org/mustardlane/cli/FakeRouter.java
+++ b/mustardlane-cli/src/test/java/org/mustardlane/cli/FakeRouter.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.grpc.InsecureServerCredentials;
 import io.grpc.Server;
+import io.grpc.ServerCredentials;
 import io.grpc.Status;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
@@ -45,8 +47,14 @@
 	private final String vm;
 
 	FakeRouter(String vm) throws IOException {
+		this(vm, InsecureServerCredentials.create());
+	}
+
+	FakeRouter(String vm, ServerCredentials credentials) throws IOException {
 		this.vm = vm;
-		this.server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0)).addService(this).build();
+		this.server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0), credentials)
+			.addService(this)
+			.build();
 		this.server.start();
 	}
 
