Let the log's clock alone end a gap in the claims' history

Cause: a new owner whose clock ran ahead by more than the window could take a gap in the history for past. Change: HELD also asks that the claim's own record is later than the end of the gap by the log's clock, and a checkpoint is written only then (a marker before). Proved by ClaimHandlerTests.fastClockOfNewOwnerDoesNotShortenGap.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
@@ -196,15 +196,14 @@
 	}
 
 	private Optional<NodeAction> upkeep(long nowMillis) {
-		LogCoverage coverage = this.window.coverage();
-		if (coverage.gapEndMillis(this.settings.windowMillis()) == Long.MAX_VALUE) {
-			this.nextUpkeepMillis = nowMillis + WRITE_RETRY_MILLIS;
-			return Optional.of(this.appender.append(List.of(ClaimCodec.marker())));
-		}
-		if (!isReady(nowMillis) || !isCheckpointDue(nowMillis)) {
+		long gapEndMillis = this.window.coverage().gapEndMillis(this.settings.windowMillis());
+		if (gapEndMillis != Long.MAX_VALUE && !isCheckpointDue(nowMillis)) {
 			return Optional.empty();
 		}
 		this.nextUpkeepMillis = nowMillis + WRITE_RETRY_MILLIS;
+		if (this.window.logMillis() < gapEndMillis) {
+			return Optional.of(this.appender.append(List.of(ClaimCodec.marker())));
+		}
 		long statedBeforeMillis = nowMillis - this.settings.checkpointAgeMillis() / 2;
 		ClaimsCheckpoint checkpoint = this.window.checkpoint(statedBeforeMillis, this.settings.batchRecords());
 		return Optional.of(this.appender.append(List.of(ClaimCodec.encode(checkpoint))));
@@ -285,7 +284,8 @@
 	private Optional<ClaimAnswer> heldKey(PendingClaim pending, LoggedFact<ClaimMade> holder, long nowMillis) {
 		ClaimMade claim = holder.fact();
 		if (isOwn(pending, holder)) {
-			return Optional.of(this.answers.held(pending.ask(), holder));
+			return Optional
+				.of(isAfterGap(holder) ? this.answers.held(pending.ask(), holder) : unavailable(pending, 0, nowMillis));
 		}
 		boolean sameBody = Arrays.equals(claim.bodyDigest(), pending.ask().bodyDigest());
 		Optional<ClaimCompleted> completion = this.window.completion(claim.attemptId());
@@ -300,6 +300,16 @@
 			.orElseGet(() -> this.answers.other(pending.ask(), ClaimVerdict.HELD_BY_OTHER, holder)));
 	}
 
+	/**
+	 * Returns whether all claims that this reader does not know had ended when a claim
+	 * came into the log; the clock of this VM has no say in it.
+	 * @param claim the claim
+	 * @return whether the claim is sure to be the oldest that counts
+	 */
+	private boolean isAfterGap(LoggedFact<ClaimMade> claim) {
+		return claim.appendedAtMillis() >= this.window.coverage().gapEndMillis(this.settings.windowMillis());
+	}
+
 	private ClaimAnswer unavailable(PendingClaim pending, long waitMillis, long nowMillis) {
 		retract(pending, nowMillis);
 		return this.answers.unavailable(pending.ask(), waitMillis);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
@@ -197,6 +197,14 @@
 		return this.coverage;
 	}
 
+	/**
+	 * Returns the time by the clock of the log.
+	 * @return the latest time of a record, 0 before the first
+	 */
+	long logMillis() {
+		return this.logMillis;
+	}
+
 	/**
 	 * Returns the number of facts in memory.
 	 * @return claims and releases
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
@@ -308,6 +308,20 @@
 		claim(B, "third");
 	}
 
+	@Test
+	public void fastClockOfNewOwnerDoesNotShortenGap() {
+		claim(A, "first");
+		this.routers.freeze(A, true);
+		passWithRetention(6_000);
+		this.routers.skew(B, 30_000);
+		this.routers.view(B, B);
+		this.routers.pass(100);
+		this.routers.send(A, B, askOf("second", "body", this.routers.nowMillis + 35_000));
+		this.routers.pass(1_000);
+		assertEquals(answer("second").verdict(), ClaimVerdict.UNAVAILABLE);
+		assertEquals(records(ClaimCodec.CLAIM), 2);
+	}
+
 	@Test
 	public void routerThatDoesNotOwnSaysSo() {
 		ask(B, "first");
