--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowMeasurement.java
@@ -0,0 +1,88 @@
+package org.mustardlane.core.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+import org.mustardlane.core.model.log.LogRecord;
+import org.mustardlane.core.model.log.RecordBody;
+
+/**
+ * Measures the memory of a claim and the time to take one; prints one line.
+ */
+public final class ClaimWindowMeasurement {
+
+	private static final int CLAIMS = 100_000;
+
+	private static final int ROUNDS = 5;
+
+	private ClaimWindowMeasurement() {
+	}
+
+	/**
+	 * Runs the measurement.
+	 * @param arguments not used
+	 */
+	public static void main(String[] arguments) throws NoSuchAlgorithmException {
+		List<LogRecord> records = new ArrayList<>();
+		long recordBytes = 0;
+		for (int number = 1; number <= CLAIMS; number++) {
+			RecordBody body = ClaimCodec.encode(claim(number));
+			recordBytes += body.body().length;
+			records.add(new LogRecord(number, number, body.type(), body.body()));
+		}
+		long heapBytes = heapBytes(records);
+		long nanos = bestNanos(records);
+		System.out.printf("claims %d, record %d B, heap %d B a claim, fold %.1f us a claim%n", CLAIMS,
+				recordBytes / CLAIMS, heapBytes / CLAIMS, nanos / 1_000.0 / CLAIMS);
+	}
+
+	private static long heapBytes(List<LogRecord> records) {
+		long beforeBytes = usedBytes();
+		ClaimWindow window = fold(records);
+		long heapBytes = usedBytes() - beforeBytes;
+		require(window.size() == CLAIMS);
+		return heapBytes;
+	}
+
+	private static long bestNanos(List<LogRecord> records) {
+		long bestNanos = Long.MAX_VALUE;
+		for (int round = 0; round < ROUNDS; round++) {
+			long startNanos = System.nanoTime();
+			ClaimWindow window = fold(records);
+			bestNanos = Math.min(bestNanos, System.nanoTime() - startNanos);
+			require(window.size() == CLAIMS);
+		}
+		return bestNanos;
+	}
+
+	private static ClaimMade claim(int number) throws NoSuchAlgorithmException {
+		byte[] digest = MessageDigest.getInstance("SHA-256").digest(("k" + number).getBytes(StandardCharsets.UTF_8));
+		String requestId = "entry-vm-17-1764813600000-" + number;
+		return new ClaimMade(HexFormat.of().formatHex(digest), requestId + "/claim", requestId, "entry-vm-17", digest,
+				Long.MAX_VALUE);
+	}
+
+	private static ClaimWindow fold(List<LogRecord> records) {
+		ClaimWindow window = new ClaimWindow(ClaimSettings.DEFAULT);
+		records.forEach(window::fold);
+		return window;
+	}
+
+	private static long usedBytes() {
+		for (int round = 0; round < ROUNDS; round++) {
+			System.gc();
+		}
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+	private static void require(boolean condition) {
+		if (!condition) {
+			throw new IllegalStateException("the window lost claims");
+		}
+	}
+
+}
