--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
@@ -9,6 +9,7 @@
 import org.mustardlane.core.event.AppendResult;
 import org.mustardlane.core.event.FollowStream;
 import org.mustardlane.core.event.RaiseEvent;
+import org.mustardlane.core.model.catalogue.Finding;
 import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.catalogue.PublishVerdict;
 import org.mustardlane.core.model.common.EntryName;
@@ -168,6 +169,16 @@
 		assertEquals(this.two.take(AppendLog.class), List.of());
 	}
 
+	@Test
+	public void rejectsAnotherChangeUnderAUsedChangeId() {
+		publishFirst();
+		this.two.publish("c1", ChangeSamples.entry("e2", 0, 100), DEADLINE, 4);
+		assertEquals(this.two.results().get(0).findings().get(0).message(),
+				"was used for another change, at revision 1 by ann");
+		this.two.publish("c 1\n", ChangeSamples.FIRST, DEADLINE, 4);
+		assertEquals(this.two.results().get(0).verdict(), PublishVerdict.REJECTED);
+	}
+
 	@Test
 	public void rejectsReferencesThatDoNotHoldAfterReadingAgain() {
 		this.one.publish("c1", ChangeSamples.entry("e1", 0, 100), DEADLINE, 1);
@@ -197,7 +208,10 @@
 		this.one.results();
 		this.one.publish("c2", ChangeSamples.removal("organisations", "id", "o1", 1), DEADLINE, 4);
 		this.one.read(100, 200);
-		assertEquals(this.one.results().get(0).verdict(), PublishVerdict.REJECTED);
+		PublishResult rejected = this.one.results().get(0);
+		assertEquals(rejected.verdict(), PublishVerdict.REJECTED);
+		assertEquals(rejected.findings(),
+				List.of(new Finding("remove.organisations[0].id", 3, 12, "entry e1: no organisation is named o1")));
 		this.one.publish("c3", ChangeSamples.removal("entries", "name", "e1", 1), DEADLINE, 201);
 		this.one.append(AppendResult.APPENDED, true, 202);
 		this.one.read(100, 203);
