--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -14,6 +14,7 @@
 import org.mustardlane.core.event.NodeEvent;
 import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.PublishEnded;
 import org.mustardlane.core.event.PublishRequested;
 import org.mustardlane.core.event.RaiseEvent;
 import org.mustardlane.core.event.RecordEvent;
@@ -24,6 +25,7 @@
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.message.Gossip;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.common.LockRank;
 import org.mustardlane.core.model.common.RankedLock;
 import org.mustardlane.core.model.common.VmId;
@@ -92,31 +94,52 @@
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
 		return this.lock.locked(() -> {
 			List<NodeAction> actions = new ArrayList<>();
-			if (event instanceof Tick) {
-				tick(nowMillis, actions);
-			}
-			else if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.CATALOGUE)) {
-				recordsRead(read, nowMillis, actions);
-			}
-			else if (event instanceof LogAppendEnded ended && ended.stream().equals(StreamName.CATALOGUE)) {
-				actions.addAll(this.publishes.appendEnded(ended, nowMillis));
-			}
-			else if (event instanceof PublishRequested request) {
-				actions.addAll(this.publishes.request(request));
-				adjustReading(nowMillis, actions);
-				advancePublishes(nowMillis, actions);
-			}
-			else if (event instanceof PeerMessageReceived received) {
-				peerMessage(received, nowMillis, actions);
-			}
-			else if (event instanceof OwnershipChanged changed) {
-				this.checkpoints.ownershipChanged(changed.ownership());
-				this.role.ownershipChanged(changed.ownership());
-			}
+			take(event, nowMillis, actions);
+			List.copyOf(actions)
+				.stream()
+				.filter(PublishEnded.class::isInstance)
+				.map(PublishEnded.class::cast)
+				.forEach((ended) -> actions.add(settled(ended)));
 			return actions;
 		});
 	}
 
+	private void take(NodeEvent event, long nowMillis, List<NodeAction> actions) {
+		if (event instanceof Tick) {
+			tick(nowMillis, actions);
+		}
+		else if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.CATALOGUE)) {
+			recordsRead(read, nowMillis, actions);
+		}
+		else if (event instanceof LogAppendEnded ended && ended.stream().equals(StreamName.CATALOGUE)) {
+			actions.addAll(this.publishes.appendEnded(ended, nowMillis));
+		}
+		else if (event instanceof PublishRequested request) {
+			actions.addAll(this.publishes.request(request));
+			adjustReading(nowMillis, actions);
+			advancePublishes(nowMillis, actions);
+		}
+		else if (event instanceof PeerMessageReceived received) {
+			peerMessage(received, nowMillis, actions);
+		}
+		else if (event instanceof OwnershipChanged changed) {
+			this.checkpoints.ownershipChanged(changed.ownership());
+			this.role.ownershipChanged(changed.ownership());
+		}
+	}
+
+	private RecordEvent settled(PublishEnded ended) {
+		PublishResult result = ended.result();
+		String detail = switch (result.verdict()) {
+			case ACCEPTED -> "accepted at revision " + result.revision();
+			case LOST_RACE -> "lost to revision " + result.winnerRevision();
+			case REJECTED -> "rejected with %d findings".formatted(result.findings().size());
+			case UNAVAILABLE -> "not published";
+			case UNKNOWN -> "unknown";
+		};
+		return event("publish-ended", ended.changeId(), detail);
+	}
+
 	private void tick(long nowMillis, List<NodeAction> actions) {
 		adjustReading(nowMillis, actions);
 		advancePublishes(nowMillis, actions);
@@ -155,10 +178,12 @@
 		watchGap(nowMillis);
 		watchBehind(this.knownRevision, nowMillis);
 		tellListeners(nextOffset, actions);
-		this.log.takeNotes().forEach((note) -> actions.add(event(note.kind(), note.detail())));
+		this.log.takeNotes()
+			.forEach((note) -> actions.add(event(note.kind(), StreamName.CATALOGUE.value(), note.detail())));
 		if (changed) {
 			this.snapshot = this.log.state().snapshot();
-			actions.add(event("catalogue-changed", "revision " + this.snapshot.revision()));
+			actions
+				.add(event("catalogue-changed", StreamName.CATALOGUE.value(), "revision " + this.snapshot.revision()));
 			actions.add(new RaiseEvent(new CatalogueChanged(this.snapshot)));
 		}
 		advancePublishes(nowMillis, actions);
@@ -230,8 +255,8 @@
 		}
 	}
 
-	private RecordEvent event(String kind, String detail) {
-		return new RecordEvent(new TimelineEvent(0, this.self.value(), "", kind, StreamName.CATALOGUE.value(), detail));
+	private RecordEvent event(String kind, String subject, String detail) {
+		return new RecordEvent(new TimelineEvent(0, this.self.value(), "", kind, subject, detail));
 	}
 
 	/**
--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
@@ -230,7 +230,7 @@
 		this.one.append(AppendResult.APPENDED, true, 5);
 		this.one.read(100, 6);
 		assertEquals(this.one.events(), List.of("catalogue-record-unknown", "catalogue-record-corrupt",
-				"catalogue-record-corrupt", "catalogue-changed"));
+				"catalogue-record-corrupt", "catalogue-changed", "publish-ended"));
 		assertEquals(this.one.handler.snapshot().revision(), 5);
 	}
 
