--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/capacity/IdleFleet.java
@@ -0,0 +1,110 @@
+package org.mustardlane.proof.capacity;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.mustardlane.core.event.NodeAction;
+import org.mustardlane.core.event.NodeEvent;
+import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.SendPeer;
+import org.mustardlane.core.event.Tick;
+import org.mustardlane.core.event.VmListRead;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.model.membership.VmEntry;
+import org.mustardlane.core.model.membership.VmList;
+import org.mustardlane.core.model.membership.VmState;
+import org.mustardlane.core.node.Node;
+import org.mustardlane.core.node.NodeSettings;
+import org.mustardlane.router.peer.PeerMessageEncoder;
+
+/**
+ * Nodes without requests that hand each other their messages in memory, for the traffic
+ * and the processor time that a node costs by being there.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class IdleFleet {
+
+	private static final long STEP_MILLIS = 10;
+
+	private static final String HOST = "10.100.100.100";
+
+	private final Map<VmId, Node> nodes = new TreeMap<>();
+
+	private final Deque<Delivery> pending = new ArrayDeque<>();
+
+	private long nowMillis;
+
+	private long messages;
+
+	private long bytes;
+
+	IdleFleet(int routers, int domains) {
+		List<VmEntry> rows = new ArrayList<>();
+		for (int number = 0; number < routers; number++) {
+			VmId vm = new VmId("vm-" + number);
+			DomainId domain = new DomainId("domain-" + number % domains);
+			rows.add(new VmEntry(vm, domain, HOST, 1, VmState.LIVE));
+			this.nodes.put(vm, new Node(new NodeSettings(vm, domain, HOST, 1, 1, number)));
+		}
+		VmList list = new VmList(1, rows);
+		this.nodes.keySet().forEach((vm) -> handle(vm, new VmListRead(list)));
+	}
+
+	/**
+	 * Lets time pass on all nodes.
+	 * @param millis how much
+	 * @return what it cost
+	 */
+	Cost run(long millis) {
+		this.messages = 0;
+		this.bytes = 0;
+		long startedNanos = System.nanoTime();
+		for (long untilMillis = this.nowMillis + millis; this.nowMillis < untilMillis; this.nowMillis += STEP_MILLIS) {
+			this.nodes.keySet().forEach((vm) -> handle(vm, new Tick()));
+			deliver();
+		}
+		double nodeSeconds = this.nodes.size() * millis / 1000.0;
+		return new Cost(this.messages / nodeSeconds, this.bytes / nodeSeconds,
+				(System.nanoTime() - startedNanos) / 1000.0 / nodeSeconds);
+	}
+
+	private void deliver() {
+		while (!this.pending.isEmpty()) {
+			Delivery next = this.pending.remove();
+			handle(next.receiver(), next.event());
+		}
+	}
+
+	private void handle(VmId vm, NodeEvent event) {
+		for (NodeAction action : this.nodes.get(vm).handle(event, this.nowMillis)) {
+			if (action instanceof SendPeer send) {
+				this.messages++;
+				this.bytes += PeerMessageEncoder.encode(send.message()).build().getSerializedSize();
+				this.pending.add(new Delivery(send.peer(), new PeerMessageReceived(vm, send.message())));
+			}
+		}
+	}
+
+	/**
+	 * What one node costs in one second.
+	 *
+	 * @param messages messages sent
+	 * @param bytes bytes of these messages, without the headers of HTTP/2 and TCP
+	 * @param micros processor time in microseconds, coding not counted out
+	 */
+	record Cost(double messages, double bytes, double micros) {
+
+	}
+
+	private record Delivery(VmId receiver, NodeEvent event) {
+
+	}
+
+}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageEncoder.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerMessageEncoder.java
@@ -31,7 +31,7 @@
 /**
  * Writes messages to other routers as frames.
  */
-final class PeerMessageEncoder {
+public final class PeerMessageEncoder {
 
 	private PeerMessageEncoder() {
 	}
@@ -41,7 +41,7 @@
 	 * @param message the message
 	 * @return a frame that holds the message and nothing else
 	 */
-	static PeerFrame.Builder encode(PeerMessage message) {
+	public static PeerFrame.Builder encode(PeerMessage message) {
 		PeerFrame.Builder frame = PeerFrame.newBuilder();
 		if (message instanceof GrantAsk ask) {
 			return frame.setGrantAsk(grantAsk(ask));
