--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimMade.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimMade.java
@@ -14,4 +14,14 @@
 record ClaimMade(String claimKey, String attemptId, String requestId, String vm, byte[] bodyDigest,
 		long voidAfterMillis) implements ClaimFact {
 
+	/**
+	 * Returns the claim with another text of the same name.
+	 * @param name the router that asked
+	 * @return the claim
+	 */
+	ClaimMade withVm(String name) {
+		return new ClaimMade(this.claimKey, this.attemptId, this.requestId, name, this.bodyDigest,
+				this.voidAfterMillis);
+	}
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimWindow.java
@@ -18,6 +18,8 @@
  */
 final class ClaimWindow {
 
+	private static final int VM_NAMES_LIMIT = 10_000;
+
 	private final long windowMillis;
 
 	private final Map<String, KeyClaims> keys = new HashMap<>();
@@ -32,6 +34,11 @@
 
 	private final StoredAnswers answers;
 
+	/**
+	 * One text for each name of a VM, shared by its claims to save memory.
+	 */
+	private final Map<String, String> vmNames = new HashMap<>();
+
 	private final LogCoverage coverage = new LogCoverage();
 
 	private long logMillis;
@@ -95,8 +102,9 @@
 		this.coverage.carried(checkpoint.throughOffset(), record.appendedAtMillis());
 	}
 
-	private void claim(LogRecord record, LoggedFact<ClaimMade> claim) {
-		ClaimMade fact = claim.fact();
+	private void claim(LogRecord record, LoggedFact<ClaimMade> read) {
+		ClaimMade fact = read.fact().withVm(sharedVmName(read.fact().vm()));
+		LoggedFact<ClaimMade> claim = new LoggedFact<>(read.offset(), read.appendedAtMillis(), fact);
 		boolean late = claim.appendedAtMillis() > fact.voidAfterMillis();
 		if (late || isReleased(claim) || claim.isExpired(this.windowMillis, this.logMillis)) {
 			return;
@@ -109,6 +117,13 @@
 			.ifPresent((known) -> this.claims.state(record, known));
 	}
 
+	private String sharedVmName(String vm) {
+		if (this.vmNames.size() >= VM_NAMES_LIMIT) {
+			this.vmNames.clear();
+		}
+		return this.vmNames.computeIfAbsent(vm, (name) -> name);
+	}
+
 	private boolean isReleased(LoggedFact<ClaimMade> claim) {
 		return this.releases.find(claim.fact().attemptId())
 			.filter((release) -> !release.isExpired(this.windowMillis, claim.appendedAtMillis()))
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/KeyClaims.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/KeyClaims.java
@@ -1,8 +1,10 @@
 package org.mustardlane.core.claim;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The claims of one key that count, oldest first.
@@ -12,7 +14,7 @@
  */
 final class KeyClaims {
 
-	private final List<LoggedFact<ClaimMade>> claims = new ArrayList<>(1);
+	private List<LoggedFact<ClaimMade>> claims = List.of();
 
 	/**
 	 * Adds a claim; a second record of the same attempt changes nothing unless it is
@@ -25,11 +27,13 @@
 			return;
 		}
 		remove(claim.fact().attemptId());
-		int place = 0;
-		while (place < this.claims.size() && this.claims.get(place).offset() < claim.offset()) {
-			place++;
+		if (this.claims.isEmpty()) {
+			this.claims = List.of(claim);
+			return;
 		}
-		this.claims.add(place, claim);
+		this.claims = Stream.concat(this.claims.stream(), Stream.of(claim))
+			.sorted(Comparator.comparingLong(LoggedFact::offset))
+			.toList();
 	}
 
 	/**
@@ -37,7 +41,7 @@
 	 * @param attemptId the claim
 	 */
 	void remove(String attemptId) {
-		this.claims.removeIf((claim) -> claim.fact().attemptId().equals(attemptId));
+		retainIf((claim) -> !claim.fact().attemptId().equals(attemptId));
 	}
 
 	/**
@@ -46,7 +50,13 @@
 	 * @param logMillis the time by the clock of the log
 	 */
 	void removeExpired(long windowMillis, long logMillis) {
-		this.claims.removeIf((claim) -> claim.isExpired(windowMillis, logMillis));
+		retainIf((claim) -> !claim.isExpired(windowMillis, logMillis));
+	}
+
+	private void retainIf(Predicate<LoggedFact<ClaimMade>> kept) {
+		if (!this.claims.stream().allMatch(kept)) {
+			this.claims = this.claims.stream().filter(kept).toList();
+		}
 	}
 
 	/**
--- a/mustardlane-core/src/test/java/org/mustardlane/core/order/OrderHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/order/OrderHandlerTests.java
@@ -116,6 +116,18 @@
 		assertTrue(waitMillis >= SETTINGS.clockMarginMillis() - 200, "waited " + waitMillis);
 	}
 
+	@Test
+	public void issueUnderAnotherLeaseCountsForNothing() {
+		EngineOrder order = new EngineOrder("decision", new TargetId("engine1"), OrderKind.LOAD_ADAPTER, "subject",
+				"value");
+		this.issuers.log.write(StreamName.ORDERS,
+				List.of(OrderCodec.encode(new OrderRecord.Decision(order, Long.MAX_VALUE)),
+						OrderCodec.encode(new OrderRecord.Issue("decision", 77, "pool"))),
+				this.issuers.nowMillis);
+		this.issuers.pass(5_000);
+		assertEquals(this.issuers.sent.size(), 1);
+	}
+
 	@Test
 	public void laterDecisionReplacesWaitingOne() {
 		request(A, "early", 1, OrderKind.LOAD_ADAPTER);
