--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowTests.java
@@ -77,6 +77,22 @@
 		assertEquals(window.size(), 1);
 	}
 
+	@Test
+	public void releaseIsCarriedAsLongAsAClaimThatItEndedCouldCount() {
+		ClaimWindow writer = fold(release("first"));
+		this.appendedAtMillis = WINDOW_MILLIS - 1;
+		LogRecord claim = record(ClaimCodec.encode(claim("first")));
+		this.appendedAtMillis = WINDOW_MILLIS + 1;
+		List<LogRecord> retained = List.of(claim, record(ClaimCodec.marker()));
+		retained.forEach(writer::fold);
+		ClaimWindow late = new ClaimWindow(SETTINGS);
+		late.coverage().skipTo(2);
+		retained.forEach(late::fold);
+		late.fold(record(ClaimCodec.encode(writer.checkpoint(WINDOW_MILLIS, 10))));
+		assertEquals(holder(writer), Optional.empty());
+		assertEquals(holder(late), Optional.empty());
+	}
+
 	/**
 	 * A reader that joins after retention has cut most records agrees with one that has
 	 * read them all.
