--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimSettings.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimSettings.java
@@ -1,5 +1,7 @@
 package org.mustardlane.core.claim;
 
+import org.mustardlane.core.model.membership.Ownership;
+
 /**
  * Limits and times of the claims.
  *
@@ -22,10 +24,14 @@
 		long appendGapMillis, long checkpointAgeMillis, long retryAfterMillis, int batchRecords, int pendingLimit,
 		int factLimit, long storedAnswerMillis, int storedAnswerBytes, long storedAnswersBytes) {
 
+	private static final int FLEET_APPENDS_PER_SECOND = 160;
+
+	private static final long APPEND_GAP_MILLIS = Ownership.CLAIM_PARTITIONS * 1_000L / FLEET_APPENDS_PER_SECOND;
+
 	/**
 	 * The settings of a router that was told nothing else.
 	 */
-	public static final ClaimSettings DEFAULT = new ClaimSettings(3_600_000, 3_000, 200, 5_000, 100, 1_200_000, 1_000,
-			200, 10_000, 400_000, 300_000, 4_096, 16_777_216);
+	public static final ClaimSettings DEFAULT = new ClaimSettings(3_600_000, 3_000, 200, 5_000, APPEND_GAP_MILLIS,
+			1_200_000, 1_000, 200, 10_000, 400_000, 300_000, 4_096, 16_777_216);
 
 }
