--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -7,7 +7,6 @@
 import org.mustardlane.core.catalogue.PublishTable.LogView;
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.EventHandler;
-import org.mustardlane.core.event.FollowStream;
 import org.mustardlane.core.event.LogAppendEnded;
 import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
@@ -20,7 +19,6 @@
 import org.mustardlane.core.event.RecordEvent;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.Tick;
-import org.mustardlane.core.event.UnfollowStream;
 import org.mustardlane.core.message.CatalogueRelay;
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.message.Gossip;
@@ -40,10 +38,6 @@
 
 	private static final long RELAY_ASK_INTERVAL_MILLIS = 200;
 
-	private static final long GAP_MILLIS = 2_000;
-
-	private static final long BEHIND_MILLIS = 1_000;
-
 	private final RankedLock lock = new RankedLock(LockRank.CATALOGUE);
 
 	private final VmId self;
@@ -56,20 +50,14 @@
 
 	private final ReadingRole role;
 
-	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
+	private final LogFollowing following = new LogFollowing();
 
-	private boolean following;
+	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
 
 	private LogView view = LogView.PARTIAL;
 
 	private long nextRelayAskMillis;
 
-	private long gapDeadlineMillis = Long.MAX_VALUE;
-
-	private long behindDeadlineMillis = Long.MAX_VALUE;
-
-	private long knownRevision;
-
 	/**
 	 * Creates the handler.
 	 * @param self this router
@@ -149,17 +137,8 @@
 	}
 
 	private void adjustReading(long nowMillis, List<NodeAction> actions) {
-		boolean stalled = nowMillis >= this.gapDeadlineMillis;
-		boolean wanted = stalled || this.role.isReader() || !this.publishes.isEmpty() || this.view == LogView.PARTIAL
-				|| nowMillis >= this.behindDeadlineMillis;
-		if (wanted && (stalled || !this.following)) {
-			this.gapDeadlineMillis = Long.MAX_VALUE;
-			actions.add(new FollowStream(StreamName.CATALOGUE, this.log.state().nextOffset()));
-		}
-		if (!wanted && this.following) {
-			actions.add(new UnfollowStream(StreamName.CATALOGUE));
-		}
-		this.following = wanted;
+		boolean needed = this.role.isReader() || !this.publishes.isEmpty() || this.view == LogView.PARTIAL;
+		this.following.adjust(needed, this.log, nowMillis).ifPresent(actions::add);
 	}
 
 	private void recordsRead(LogRecordsRead read, long nowMillis, List<NodeAction> actions) {
@@ -175,8 +154,7 @@
 	private void acceptRecords(List<LogRecord> records, long nowMillis, List<NodeAction> actions) {
 		long nextOffset = this.log.state().nextOffset();
 		boolean changed = this.log.accept(records);
-		watchGap(nowMillis);
-		watchBehind(this.knownRevision, nowMillis);
+		this.following.observe(this.log, nowMillis);
 		tellListeners(nextOffset, actions);
 		this.log.takeNotes()
 			.forEach((note) -> actions.add(event(note.kind(), StreamName.CATALOGUE.value(), note.detail())));
@@ -189,25 +167,6 @@
 		advancePublishes(nowMillis, actions);
 	}
 
-	private void watchGap(long nowMillis) {
-		if (!this.log.hasGap()) {
-			this.gapDeadlineMillis = Long.MAX_VALUE;
-		}
-		else if (this.gapDeadlineMillis == Long.MAX_VALUE) {
-			this.gapDeadlineMillis = nowMillis + GAP_MILLIS;
-		}
-	}
-
-	private void watchBehind(long peerRevision, long nowMillis) {
-		this.knownRevision = Math.max(this.knownRevision, peerRevision);
-		if (this.knownRevision <= this.log.state().revision()) {
-			this.behindDeadlineMillis = Long.MAX_VALUE;
-		}
-		else if (this.behindDeadlineMillis == Long.MAX_VALUE) {
-			this.behindDeadlineMillis = nowMillis + BEHIND_MILLIS;
-		}
-	}
-
 	private void tellListeners(long fromOffset, List<NodeAction> actions) {
 		List<VmId> listeners = this.role.listeners();
 		if (this.view == LogView.PARTIAL || listeners.isEmpty() || fromOffset == this.log.state().nextOffset()) {
@@ -242,7 +201,8 @@
 	}
 
 	private void askIfBehind(VmId peer, long peerRevision, long nowMillis, List<NodeAction> actions) {
-		watchBehind(peerRevision, nowMillis);
+		this.following.heardOf(peerRevision);
+		this.following.observe(this.log, nowMillis);
 		if (peerRevision > this.log.state().revision()) {
 			ask(peer, nowMillis, actions);
 		}
