--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -190,7 +190,7 @@
 		long seed = (this.settings.seed() != 0) ? this.settings.seed() : this.startedAtMillis;
 		int advertised = this.settings.ports().advertisedPeer();
 		return new NodeSettings(this.settings.vm(), this.settings.domain(), this.settings.host(),
-				(advertised != 0) ? advertised : peerPort, this.startedAtMillis, seed);
+				(advertised != 0) ? advertised : peerPort, this.startedAtMillis, seed, this.settings.policy());
 	}
 
 	private static Optional<PeerAddress> addressOf(Node node, VmId vm) {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterOption.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterOption.java
@@ -63,6 +63,12 @@
 	 */
 	SEED("seed", "seed of random numbers, 0 to take the start time", "0"),
 
+	/**
+	 * How shards are granted.
+	 */
+	POLICY("policy", "how the capacity of targets is granted: bounded, or naive as a baseline of measurements",
+			"bounded"),
+
 	/**
 	 * Time between two ticks.
 	 */
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterSettings.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/RouterSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Optional;
 
+import org.mustardlane.core.admission.AdmissionPolicy;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
 
@@ -16,13 +17,14 @@
  * @param platformUrl address of the platform
  * @param workers threads that handle events
  * @param seed seed of random numbers, 0 to take the start time
+ * @param policy how the capacity of targets is granted
  * @param tickMillis time between two ticks
  * @param drainMillis longest time that a stop waits for requests in flight
  * @param limits what a caller's connection may use
  * @param tls files for the peer and operator ports, empty for plain text
  */
 public record RouterSettings(VmId vm, DomainId domain, String host, Ports ports, String platformUrl, int workers,
-		long seed, int tickMillis, int drainMillis, Limits limits, Optional<TlsFiles> tls) {
+		long seed, AdmissionPolicy policy, int tickMillis, int drainMillis, Limits limits, Optional<TlsFiles> tls) {
 
 	/**
 	 * The TCP ports; 0 takes a free one.
--- a/mustardlane-router/src/main/java/org/mustardlane/router/settings/SettingsReader.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/settings/SettingsReader.java
@@ -17,6 +17,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 
+import org.mustardlane.core.admission.AdmissionPolicy;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
 
@@ -89,7 +90,7 @@
 		RouterSettings settings = new RouterSettings(new VmId(this.values.requiredText(RouterOption.VM)),
 				new DomainId(this.values.requiredText(RouterOption.DOMAIN)), host(), ports(), platformUrl(),
 				this.values.number(RouterOption.WORKERS, 1, MOST_WORKERS), this.values.longNumber(RouterOption.SEED),
-				this.values.number(RouterOption.TICK_MILLIS, 1, MOST_TICK_MILLIS),
+				policy(), this.values.number(RouterOption.TICK_MILLIS, 1, MOST_TICK_MILLIS),
 				this.values.number(RouterOption.DRAIN_MILLIS, 0, Integer.MAX_VALUE), limits(), tls());
 		checkBind(settings);
 		if (!this.values.findings().isEmpty()) {
@@ -114,6 +115,17 @@
 		return host;
 	}
 
+	private AdmissionPolicy policy() {
+		String name = this.values.requiredText(RouterOption.POLICY);
+		for (AdmissionPolicy policy : AdmissionPolicy.values()) {
+			if (policy.name().equalsIgnoreCase(name)) {
+				return policy;
+			}
+		}
+		this.values.reject(RouterOption.POLICY, "'" + name + "' is not one of bounded, naive");
+		return AdmissionPolicy.BOUNDED;
+	}
+
 	private RouterSettings.Ports ports() {
 		return new RouterSettings.Ports(port(RouterOption.CALLER_PORT), port(RouterOption.PEER_PORT),
 				port(RouterOption.ADVERTISED_PEER_PORT), port(RouterOption.OPERATOR_PORT),
