--- a/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/catalogue/CatalogueHandler.java
@@ -7,23 +7,23 @@
 import org.mustardlane.core.catalogue.PublishTable.LogView;
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.EventHandler;
-import org.mustardlane.core.event.FollowStream;
 import org.mustardlane.core.event.LogAppendEnded;
 import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
 import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.PeerMessageReceived;
+import org.mustardlane.core.event.PublishEnded;
 import org.mustardlane.core.event.PublishRequested;
 import org.mustardlane.core.event.RaiseEvent;
 import org.mustardlane.core.event.RecordEvent;
 import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.Tick;
-import org.mustardlane.core.event.UnfollowStream;
 import org.mustardlane.core.message.CatalogueRelay;
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.message.Gossip;
 import org.mustardlane.core.model.catalogue.CatalogueSnapshot;
+import org.mustardlane.core.model.catalogue.PublishResult;
 import org.mustardlane.core.model.common.LockRank;
 import org.mustardlane.core.model.common.RankedLock;
 import org.mustardlane.core.model.common.VmId;
@@ -38,10 +38,6 @@
 
 	private static final long RELAY_ASK_INTERVAL_MILLIS = 200;
 
-	private static final long GAP_MILLIS = 2_000;
-
-	private static final long BEHIND_MILLIS = 1_000;
-
 	private final RankedLock lock = new RankedLock(LockRank.CATALOGUE);
 
 	private final VmId self;
@@ -54,20 +50,14 @@
 
 	private final ReadingRole role;
 
-	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
+	private final LogFollowing following = new LogFollowing();
 
-	private boolean following;
+	private volatile CatalogueSnapshot snapshot = CatalogueSnapshot.EMPTY;
 
 	private LogView view = LogView.PARTIAL;
 
 	private long nextRelayAskMillis;
 
-	private long gapDeadlineMillis = Long.MAX_VALUE;
-
-	private long behindDeadlineMillis = Long.MAX_VALUE;
-
-	private long knownRevision;
-
 	/**
 	 * Creates the handler.
 	 * @param self this router
@@ -92,31 +82,52 @@
 	public List<NodeAction> handle(NodeEvent event, long nowMillis) {
 		return this.lock.locked(() -> {
 			List<NodeAction> actions = new ArrayList<>();
-			if (event instanceof Tick) {
-				tick(nowMillis, actions);
-			}
-			else if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.CATALOGUE)) {
-				recordsRead(read, nowMillis, actions);
-			}
-			else if (event instanceof LogAppendEnded ended && ended.stream().equals(StreamName.CATALOGUE)) {
-				actions.addAll(this.publishes.appendEnded(ended, nowMillis));
-			}
-			else if (event instanceof PublishRequested request) {
-				actions.addAll(this.publishes.request(request));
-				adjustReading(nowMillis, actions);
-				advancePublishes(nowMillis, actions);
-			}
-			else if (event instanceof PeerMessageReceived received) {
-				peerMessage(received, nowMillis, actions);
-			}
-			else if (event instanceof OwnershipChanged changed) {
-				this.checkpoints.ownershipChanged(changed.ownership());
-				this.role.ownershipChanged(changed.ownership());
-			}
+			take(event, nowMillis, actions);
+			List.copyOf(actions)
+				.stream()
+				.filter(PublishEnded.class::isInstance)
+				.map(PublishEnded.class::cast)
+				.forEach((ended) -> actions.add(settled(ended)));
 			return actions;
 		});
 	}
 
+	private void take(NodeEvent event, long nowMillis, List<NodeAction> actions) {
+		if (event instanceof Tick) {
+			tick(nowMillis, actions);
+		}
+		else if (event instanceof LogRecordsRead read && read.stream().equals(StreamName.CATALOGUE)) {
+			recordsRead(read, nowMillis, actions);
+		}
+		else if (event instanceof LogAppendEnded ended && ended.stream().equals(StreamName.CATALOGUE)) {
+			actions.addAll(this.publishes.appendEnded(ended, nowMillis));
+		}
+		else if (event instanceof PublishRequested request) {
+			actions.addAll(this.publishes.request(request));
+			adjustReading(nowMillis, actions);
+			advancePublishes(nowMillis, actions);
+		}
+		else if (event instanceof PeerMessageReceived received) {
+			peerMessage(received, nowMillis, actions);
+		}
+		else if (event instanceof OwnershipChanged changed) {
+			this.checkpoints.ownershipChanged(changed.ownership());
+			this.role.ownershipChanged(changed.ownership());
+		}
+	}
+
+	private RecordEvent settled(PublishEnded ended) {
+		PublishResult result = ended.result();
+		String detail = switch (result.verdict()) {
+			case ACCEPTED -> "accepted at revision " + result.revision();
+			case LOST_RACE -> "lost to revision " + result.winnerRevision();
+			case REJECTED -> "rejected with %d findings".formatted(result.findings().size());
+			case UNAVAILABLE -> "not published";
+			case UNKNOWN -> "unknown";
+		};
+		return event("publish-ended", ended.changeId(), detail);
+	}
+
 	private void tick(long nowMillis, List<NodeAction> actions) {
 		adjustReading(nowMillis, actions);
 		advancePublishes(nowMillis, actions);
@@ -126,17 +137,8 @@
 	}
 
 	private void adjustReading(long nowMillis, List<NodeAction> actions) {
-		boolean stalled = nowMillis >= this.gapDeadlineMillis;
-		boolean wanted = stalled || this.role.isReader() || !this.publishes.isEmpty() || this.view == LogView.PARTIAL
-				|| nowMillis >= this.behindDeadlineMillis;
-		if (wanted && (stalled || !this.following)) {
-			this.gapDeadlineMillis = Long.MAX_VALUE;
-			actions.add(new FollowStream(StreamName.CATALOGUE, this.log.state().nextOffset()));
-		}
-		if (!wanted && this.following) {
-			actions.add(new UnfollowStream(StreamName.CATALOGUE));
-		}
-		this.following = wanted;
+		boolean needed = this.role.isReader() || !this.publishes.isEmpty() || this.view == LogView.PARTIAL;
+		this.following.adjust(needed, this.log, nowMillis).ifPresent(actions::add);
 	}
 
 	private void recordsRead(LogRecordsRead read, long nowMillis, List<NodeAction> actions) {
@@ -152,37 +154,19 @@
 	private void acceptRecords(List<LogRecord> records, long nowMillis, List<NodeAction> actions) {
 		long nextOffset = this.log.state().nextOffset();
 		boolean changed = this.log.accept(records);
-		watchGap(nowMillis);
-		watchBehind(this.knownRevision, nowMillis);
+		this.following.observe(this.log, nowMillis);
 		tellListeners(nextOffset, actions);
-		this.log.takeNotes().forEach((note) -> actions.add(event(note.kind(), note.detail())));
+		this.log.takeNotes()
+			.forEach((note) -> actions.add(event(note.kind(), StreamName.CATALOGUE.value(), note.detail())));
 		if (changed) {
 			this.snapshot = this.log.state().snapshot();
-			actions.add(event("catalogue-changed", "revision " + this.snapshot.revision()));
+			actions
+				.add(event("catalogue-changed", StreamName.CATALOGUE.value(), "revision " + this.snapshot.revision()));
 			actions.add(new RaiseEvent(new CatalogueChanged(this.snapshot)));
 		}
 		advancePublishes(nowMillis, actions);
 	}
 
-	private void watchGap(long nowMillis) {
-		if (!this.log.hasGap()) {
-			this.gapDeadlineMillis = Long.MAX_VALUE;
-		}
-		else if (this.gapDeadlineMillis == Long.MAX_VALUE) {
-			this.gapDeadlineMillis = nowMillis + GAP_MILLIS;
-		}
-	}
-
-	private void watchBehind(long peerRevision, long nowMillis) {
-		this.knownRevision = Math.max(this.knownRevision, peerRevision);
-		if (this.knownRevision <= this.log.state().revision()) {
-			this.behindDeadlineMillis = Long.MAX_VALUE;
-		}
-		else if (this.behindDeadlineMillis == Long.MAX_VALUE) {
-			this.behindDeadlineMillis = nowMillis + BEHIND_MILLIS;
-		}
-	}
-
 	private void tellListeners(long fromOffset, List<NodeAction> actions) {
 		List<VmId> listeners = this.role.listeners();
 		if (this.view == LogView.PARTIAL || listeners.isEmpty() || fromOffset == this.log.state().nextOffset()) {
@@ -217,7 +201,8 @@
 	}
 
 	private void askIfBehind(VmId peer, long peerRevision, long nowMillis, List<NodeAction> actions) {
-		watchBehind(peerRevision, nowMillis);
+		this.following.heardOf(peerRevision);
+		this.following.observe(this.log, nowMillis);
 		if (peerRevision > this.log.state().revision()) {
 			ask(peer, nowMillis, actions);
 		}
@@ -230,8 +215,8 @@
 		}
 	}
 
-	private RecordEvent event(String kind, String detail) {
-		return new RecordEvent(new TimelineEvent(0, this.self.value(), "", kind, StreamName.CATALOGUE.value(), detail));
+	private RecordEvent event(String kind, String subject, String detail) {
+		return new RecordEvent(new TimelineEvent(0, this.self.value(), "", kind, subject, detail));
 	}
 
 	/**
