--- a/mustardlane-core/src/test/java/org/mustardlane/core/admission/DifferentialTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/DifferentialTests.java
@@ -55,6 +55,17 @@
 		}
 	}
 
+	@Test
+	public void sameEventsGiveTheSameAnswers() {
+		for (int seed = FIRST_SEED; seed < FIRST_SEED + 5; seed++) {
+			Run one = new Run(AdmissionPolicy.BOUNDED, seed);
+			Run other = new Run(AdmissionPolicy.BOUNDED, seed);
+			one.drive();
+			other.drive();
+			assertEquals(one.log, other.log);
+		}
+	}
+
 	private static final class Run {
 
 		private final AdmissionPolicy policy;
@@ -71,6 +82,8 @@
 
 		private final Map<String, GrantAnswer> held = new LinkedHashMap<>();
 
+		private final List<GrantAnswer> log = new ArrayList<>();
+
 		private final Set<String> decided = new HashSet<>();
 
 		private final Set<String> withdrawn = new HashSet<>();
@@ -185,6 +198,7 @@
 			Set<TargetId> fresh = new HashSet<>();
 			for (GrantAnswer answer : this.fixture.answers()) {
 				String request = answer.requestId().value();
+				this.log.add(answer);
 				assertTrue(this.decided.add(request), this.name + " decided twice " + request);
 				assertFalse(this.withdrawn.contains(request), this.name + " granted withdrawn " + request);
 				if (answer.verdict() == GrantVerdict.GRANTED) {
