Stop a draining router only after two quiet seconds

Cause: a planned stop ended the process at the first tick without a request in flight, before the balancer could see that it was not ready; requests sent in between were refused a connection. Change: DrainFinished comes once no request has come or run for 2 s, or at the drain deadline. Conclusion: the balancer has its time.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestHandler.java
@@ -53,6 +53,8 @@
 
 	private static final long RENEWAL_MILLIS = 1000;
 
+	private static final long DRAIN_QUIET_MILLIS = 2000;
+
 	private static final double EXTRA_ATTEMPT_SHARE = 0.05;
 
 	private static final double SAVED_ATTEMPTS = 20;
@@ -79,6 +81,8 @@
 
 	private boolean drained;
 
+	private long busyAtMillis;
+
 	private long drainDeadlineMillis;
 
 	/**
@@ -146,6 +150,7 @@
 		}
 		if (event instanceof DrainRequested requested) {
 			this.draining = true;
+			this.busyAtMillis = nowMillis;
 			this.drainDeadlineMillis = requested.deadlineMillis();
 		}
 		return List.of();
@@ -157,6 +162,7 @@
 			return List.of(new RefuseRequest(arrived.requestId(), refusal.get()));
 		}
 		this.budget.earn();
+		this.busyAtMillis = nowMillis;
 		AcceptedRequest accepted = RequestCheck.accept(arrived.requestId(), arrived.request(), this.catalogue);
 		this.flows.put(arrived.requestId(), new RequestFlow(accepted, nowMillis));
 		return onFlow(arrived.requestId(), (flow) -> flow.begin(context(), nowMillis));
@@ -198,19 +204,28 @@
 	}
 
 	private List<NodeAction> tick(long nowMillis) {
+		if (!this.flows.isEmpty()) {
+			this.busyAtMillis = nowMillis;
+		}
 		List<NodeAction> actions = onAllFlows((flow) -> flow.tick(context(), nowMillis));
 		if (nowMillis >= this.renewAtMillis) {
 			this.renewAtMillis = nowMillis + RENEWAL_MILLIS;
 			actions.addAll(renewals());
 		}
-		boolean deadlinePassed = nowMillis >= this.drainDeadlineMillis;
-		if (this.draining && !this.drained && (this.flows.isEmpty() || deadlinePassed)) {
+		if (isDrained(nowMillis)) {
 			this.drained = true;
 			actions.add(new DrainFinished());
 		}
 		return actions;
 	}
 
+	private boolean isDrained(long nowMillis) {
+		// The balancer goes on sending requests until it has seen that the router is not
+		// ready any more, so the router waits until none has come for a while.
+		boolean quiet = nowMillis - this.busyAtMillis >= DRAIN_QUIET_MILLIS;
+		return this.draining && !this.drained && (quiet || nowMillis >= this.drainDeadlineMillis);
+	}
+
 	private List<NodeAction> renewals() {
 		Map<ShardId, List<HeldGrant>> held = new TreeMap<>();
 		for (RequestFlow flow : this.flows.values()) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
@@ -11,6 +11,8 @@
 import org.mustardlane.core.event.AttemptEnded;
 import org.mustardlane.core.event.AttemptHeadReceived;
 import org.mustardlane.core.event.CancelAttempt;
+import org.mustardlane.core.event.DrainFinished;
+import org.mustardlane.core.event.DrainRequested;
 import org.mustardlane.core.event.FinishAnswer;
 import org.mustardlane.core.event.ForwardAttempt;
 import org.mustardlane.core.event.JoinAnswer;
@@ -250,6 +252,22 @@
 		assertEquals(this.fleet.messages(GrantRenewal.class).findAny().orElseThrow().grants().size(), 1);
 	}
 
+	@Test
+	public void drainsOnceNoRequestHasComeForAWhile() {
+		this.fleet.handle(new DrainRequested(60_000), 1000).handle(new Tick(), 2000);
+		assertEquals(this.fleet.actions(DrainFinished.class).size(), 0);
+		this.fleet.arrive(FlowFixture.CHAT).handle(new Tick(), 4000);
+		assertEquals(this.fleet.actions(DrainFinished.class).size(), 0);
+		this.fleet.handle(new Tick(), FlowFixture.LIMIT_MILLIS).handle(new Tick(), FlowFixture.LIMIT_MILLIS + 2000);
+		assertEquals(this.fleet.actions(DrainFinished.class).size(), 1);
+	}
+
+	@Test
+	public void drainsAtDeadlineAtTheLatest() {
+		this.fleet.arrive(FlowFixture.CHAT).handle(new DrainRequested(3000), 1000).handle(new Tick(), 3000);
+		assertEquals(this.fleet.actions(DrainFinished.class).size(), 1);
+	}
+
 	private void startRelease() {
 		this.fleet.arrive(FlowFixture.RELEASE).answerClaim(ClaimVerdict.HELD, Optional.empty());
 		this.fleet.grant(1, 5, FlowFixture.FIRST);
