Give an owner that sees a part of its domain all slots once reports show no other owner

Cause: while the platform's list is stuck, dead routers stay on it, and the owners of their domain would withhold their part of every target for hours. Change: after 10 s in which no report of a target showed more than the own grants, the part no longer applies to it. Tests for both cases.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
@@ -153,7 +153,7 @@
 			handBack(this.table.take(changed.snapshot(), nowMillis), actions);
 		}
 		else if (event instanceof VmListRead read) {
-			this.table.take(read.vmList());
+			this.table.take(read.vmList(), nowMillis);
 		}
 		else if (event instanceof TargetPollFailed failed) {
 			this.table.ownedShardOf(failed.target())
@@ -183,7 +183,7 @@
 			gossip.shardLoads().forEach((load) -> hear(load, nowMillis));
 		}
 		else if (message instanceof VmListRelay relay) {
-			this.table.take(relay.vmList());
+			this.table.take(relay.vmList(), nowMillis);
 		}
 	}
 
@@ -262,7 +262,7 @@
 	private void report(LoadReport report, long nowMillis, List<NodeAction> actions) {
 		this.table.ownedShardOf(report.target()).ifPresent((shard) -> {
 			shard.target(report.target()).ifPresent((slots) -> {
-				slots.report(report);
+				slots.report(report, nowMillis);
 				slots.health().polled(true);
 			});
 			shard.recount();
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/BoundedLoadChoice.java
@@ -96,7 +96,7 @@
 			return false;
 		}
 		ServiceClass serviceClass = pending.ask().serviceClass();
-		if (slots.used(nowMillis) >= limit(shard, slots, bound)) {
+		if (slots.used(nowMillis) >= limit(shard, slots, bound, nowMillis)) {
 			return false;
 		}
 		if (slots.health().sharePercent() == 0) {
@@ -110,10 +110,11 @@
 		return serviceClass != ServiceClass.URGENT || !shard.work().lesserIsAbout(nowMillis);
 	}
 
-	private static int limit(Shard shard, TargetSlots slots, int bound) {
+	private static int limit(Shard shard, TargetSlots slots, int bound, long nowMillis) {
 		int sharePercent = slots.health().sharePercent();
 		int healthyPercent = (sharePercent != 0) ? sharePercent : PERCENT;
-		int healthy = slots.target().slots() * healthyPercent * shard.routerSharePercent() / (PERCENT * PERCENT);
+		int healthy = slots.target().slots() * healthyPercent * shard.routerSharePercent(slots, nowMillis)
+				/ (PERCENT * PERCENT);
 		return Math.min(bound, Math.max(1, healthy));
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -26,6 +26,8 @@
  */
 final class Shard {
 
+	private static final int WHOLE_PERCENT = 100;
+
 	private final ShardId id;
 
 	private final PoolLoad pool;
@@ -54,7 +56,9 @@
 
 	private long warmUpEndMillis;
 
-	private int routerSharePercent = 100;
+	private int routerSharePercent = WHOLE_PERCENT;
+
+	private long partialSinceMillis;
 
 	Shard(ShardId id, PoolLoad pool, AskQueue queue) {
 		this.id = id;
@@ -217,15 +221,22 @@
 	}
 
 	/**
-	 * Returns the part of the capacity that this owner may grant.
+	 * Returns the part of a target's slots that this owner may grant.
+	 * @param slots the target
+	 * @param nowMillis the time
 	 * @return the part in percent; below 100 where routers of the failure domain that may
-	 * own the shard too are out of sight
+	 * own the shard too are out of sight, unless reports show that they grant nothing
 	 */
-	int routerSharePercent() {
-		return this.routerSharePercent;
+	int routerSharePercent(TargetSlots slots, long nowMillis) {
+		boolean whole = this.routerSharePercent == WHOLE_PERCENT
+				|| slots.isGrantedHereAlone(this.partialSinceMillis, nowMillis);
+		return whole ? WHOLE_PERCENT : this.routerSharePercent;
 	}
 
-	void setRouterSharePercent(int percent) {
+	void setRouterSharePercent(int percent, long nowMillis) {
+		if (percent < this.routerSharePercent) {
+			this.partialSinceMillis = nowMillis;
+		}
 		this.routerSharePercent = percent;
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/ShardTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/ShardTable.java
@@ -119,9 +119,9 @@
 		return refresh(nowMillis);
 	}
 
-	void take(VmList newList) {
+	void take(VmList newList, long nowMillis) {
 		this.vmList = newList;
-		ownedShards().forEach(this::applyVmList);
+		ownedShards().forEach((shard) -> applyVmList(shard, nowMillis));
 	}
 
 	private List<Shard> refresh(long nowMillis) {
@@ -144,7 +144,7 @@
 		Collection<TargetSlots> unknown = shard.owned() ? added : shard.targets();
 		unknown.forEach((slots) -> slots.startWarmUp(nowMillis + this.settings.warmUpMillis(), nowMillis));
 		shard.setOwned(true);
-		applyVmList(shard);
+		applyVmList(shard, nowMillis);
 	}
 
 	private void refreshPools() {
@@ -174,12 +174,12 @@
 			.orElse(DEFAULT_BOUND_PERCENT);
 	}
 
-	private void applyVmList(Shard shard) {
+	private void applyVmList(Shard shard, long nowMillis) {
 		this.vmList.entries()
 			.forEach((row) -> shard.target(new TargetId(row.vm().value()))
 				.ifPresent((slots) -> slots.listLeaving(row.state() == VmState.LEAVING)));
 		shard.recount();
-		shard.setRouterSharePercent(routerSharePercent(shard.id().domain()));
+		shard.setRouterSharePercent(routerSharePercent(shard.id().domain()), nowMillis);
 	}
 
 	private int routerSharePercent(DomainId domain) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
@@ -16,6 +16,12 @@
 
 	private static final int UNREPORTED = -1;
 
+	private static final int FOREIGN_SLACK = 1;
+
+	private static final int SOLE_OWNER_MILLIS = 10_000;
+
+	private static final int REPORT_LIFE_MILLIS = 4000;
+
 	private final Target target;
 
 	private final long nameHash;
@@ -40,6 +46,14 @@
 
 	private int grantedSinceReport;
 
+	private int mostGrantedBeforeReport;
+
+	private int mostGrantedSinceReport;
+
+	private long reportedAtMillis;
+
+	private long foreignSeenMillis;
+
 	private long nextPollMillis;
 
 	TargetSlots(Target target) {
@@ -134,6 +148,7 @@
 
 	private void count(Grant grant, int change) {
 		this.granted += change;
+		this.mostGrantedSinceReport = Math.max(this.mostGrantedSinceReport, this.granted);
 		this.grantedByClass[grant.serviceClass().ordinal()] += change;
 		this.releasesPerMilli += (grant.workMillis() > 0) ? (double) change / grant.workMillis() : 0;
 	}
@@ -154,13 +169,37 @@
 		this.health.elapse(this.releasesPerMilli * millis, this.granted);
 	}
 
-	void report(LoadReport report) {
+	/**
+	 * Takes a report. More requests than this owner granted since the report before are a
+	 * sign that another owner grants too.
+	 * @param report the report
+	 * @param nowMillis the time
+	 */
+	void report(LoadReport report, long nowMillis) {
+		int busy = report.running() + report.waiting();
+		if (busy > Math.max(this.mostGrantedBeforeReport, this.mostGrantedSinceReport) + FOREIGN_SLACK) {
+			this.foreignSeenMillis = nowMillis;
+		}
+		this.reportedAtMillis = nowMillis;
+		this.mostGrantedBeforeReport = this.mostGrantedSinceReport;
+		this.mostGrantedSinceReport = this.granted;
 		this.reportedLeaving = report.leaving();
 		this.reportedBusy = report.running() + report.waiting();
 		this.grantedBeforeReport = this.grantedSinceReport;
 		this.grantedSinceReport = 0;
 	}
 
+	/**
+	 * Tells whether the reports have shown for a while that no other owner grants.
+	 * @param sinceMillis since when another owner is possible
+	 * @param nowMillis the time
+	 * @return true if the requests of the target are all granted here
+	 */
+	boolean isGrantedHereAlone(long sinceMillis, long nowMillis) {
+		return nowMillis >= Math.max(sinceMillis, this.foreignSeenMillis) + SOLE_OWNER_MILLIS
+				&& nowMillis < this.reportedAtMillis + REPORT_LIFE_MILLIS;
+	}
+
 	void listLeaving(boolean leaving) {
 		this.listedLeaving = leaving;
 	}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/admission/OwnerChangeTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/OwnerChangeTests.java
@@ -83,6 +83,26 @@
 		assertTrue(together <= SLOTS, "granted " + together);
 	}
 
+	@Test
+	public void ownerOfAPartTakesAllSlotsOnceReportsShowNoOtherOwner() {
+		AdmissionFixture part = owner(3);
+		for (int i = 0; i < 12; i++) {
+			part.advance(1000);
+			part.report(0, 0, false);
+		}
+		assertEquals(grants(part, 20), SLOTS);
+	}
+
+	@Test
+	public void ownerOfAPartKeepsToItWhileReportsShowAnotherOwner() {
+		AdmissionFixture part = owner(3);
+		for (int i = 0; i < 12; i++) {
+			part.advance(1000);
+			part.report(0, 4, false);
+		}
+		assertEquals(grants(part, 20), SLOTS * 3 / ROUTERS);
+	}
+
 	@Test
 	public void newOwnerAddsAtMostWhatTheOldOneGrantedSinceTheReport() {
 		AdmissionFixture oldOwner = owner(ROUTERS);
