--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
@@ -10,6 +10,7 @@
 import org.mustardlane.core.event.AppendLog;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogReadFailed;
 import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
@@ -101,6 +102,12 @@
 		if (event instanceof LogAppendEnded ended) {
 			return inPartition(ended.stream(), (partition) -> partition.ended(ended, nowMillis));
 		}
+		if (event instanceof LogReadFailed failed) {
+			return inPartition(failed.stream(), (partition) -> {
+				partition.readFailed(nowMillis);
+				return List.of();
+			});
+		}
 		if (event instanceof OwnershipChanged changed) {
 			return changeOwnership(changed.ownership(), nowMillis);
 		}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
@@ -35,6 +35,8 @@
 
 	private static final long UPKEEP_GAP_MILLIS = 1_000;
 
+	private static final long READ_OUTAGE_MILLIS = 1_000;
+
 	private static final long WRITE_RETRY_MILLIS = 5_000;
 
 	private final StreamName stream;
@@ -55,6 +57,8 @@
 
 	private long nextUpkeepMillis = Long.MIN_VALUE;
 
+	private long outageFromMillis = Long.MAX_VALUE;
+
 	/**
 	 * Creates a partition that has read nothing.
 	 * @param stream its stream
@@ -97,7 +101,7 @@
 			return List.of();
 		}
 		PendingClaim pending = PendingClaim.of(asker, ask, this.settings, nowMillis);
-		if (this.pendingClaims.size() >= this.settings.pendingLimit()) {
+		if (this.pendingClaims.size() >= this.settings.pendingLimit() || nowMillis >= this.outageFromMillis) {
 			return List.of(new SendPeer(asker, this.answers.unavailable(ask, 0)));
 		}
 		this.pendingClaims.put(ask.attemptId(), pending);
@@ -141,6 +145,7 @@
 	 * @return what is to be done
 	 */
 	List<NodeAction> read(LogRecordsRead event, List<String> problems, long nowMillis) {
+		this.outageFromMillis = Long.MAX_VALUE;
 		LogCoverage coverage = this.window.coverage();
 		this.endSeen &= event.firstRetainedOffset() <= coverage.nextOffset();
 		coverage.skipTo(event.firstRetainedOffset());
@@ -167,6 +172,15 @@
 		return event.records().get(0).offset() > nextOffset;
 	}
 
+	/**
+	 * Notes that the stream can not be read. After a while of that, asks are refused at
+	 * once.
+	 * @param nowMillis the time
+	 */
+	void readFailed(long nowMillis) {
+		this.outageFromMillis = Math.min(this.outageFromMillis, nowMillis + READ_OUTAGE_MILLIS);
+	}
+
 	/**
 	 * Takes the result of an append.
 	 * @param event the result
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
@@ -16,6 +16,7 @@
 import org.mustardlane.core.event.OrderRequested;
 import org.mustardlane.core.event.OwnershipChanged;
 import org.mustardlane.core.event.RecordEvent;
+import org.mustardlane.core.event.SendOrder;
 import org.mustardlane.core.event.TargetReported;
 import org.mustardlane.core.event.Tick;
 import org.mustardlane.core.event.UnfollowStream;
@@ -103,6 +104,10 @@
 		if (event instanceof Tick) {
 			return tick(nowMillis);
 		}
+		if (event instanceof OrderAnswered answered) {
+			this.issuer.answered(answered, nowMillis);
+			return List.of(record("order-ended", answered.decisionId(), answered.result().name(), nowMillis));
+		}
 		note(event, nowMillis);
 		return List.of();
 	}
@@ -116,9 +121,6 @@
 			this.outbox.put("decision " + requested.order().decisionId(),
 					new OrderRecord.Decision(requested.order(), voidAfterMillis), voidAfterMillis);
 		}
-		else if (event instanceof OrderAnswered answered) {
-			this.issuer.answered(answered, nowMillis);
-		}
 		else if (event instanceof CatalogueChanged changed) {
 			this.capacity.catalogue(changed.snapshot());
 		}
@@ -153,16 +155,22 @@
 		}
 		List<NodeAction> actions = new ArrayList<>();
 		for (LogRecord record : read.records()) {
-			this.log.fold(record).ifPresent((problem) -> actions.add(skipped(problem, nowMillis)));
+			this.log.fold(record)
+				.ifPresent((problem) -> actions
+					.add(record("order-record-skipped", StreamName.ORDERS.value(), problem, nowMillis)));
 		}
 		this.endSeen |= read.atEnd() && read.nextOffset() == coverage.nextOffset();
-		actions.addAll(this.issuer.afterRead(nowMillis));
+		for (SendOrder order : this.issuer.afterRead(nowMillis)) {
+			actions.add(order);
+			actions.add(record("order-sent", order.order().decisionId(),
+					order.target().id() + " number " + order.fencingNumber(), nowMillis));
+		}
 		return actions;
 	}
 
-	private RecordEvent skipped(String problem, long nowMillis) {
-		return new RecordEvent(new TimelineEvent(nowMillis << HYBRID_TIME_SHIFT, this.self.value(), this.domain,
-				"order-record-skipped", StreamName.ORDERS.value(), problem));
+	private RecordEvent record(String kind, String subject, String detail, long nowMillis) {
+		return new RecordEvent(new TimelineEvent(nowMillis << HYBRID_TIME_SHIFT, this.self.value(), this.domain, kind,
+				subject, detail));
 	}
 
 	private List<NodeAction> tick(long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderIssuer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderIssuer.java
@@ -94,18 +94,18 @@
 	 * @param nowMillis the time
 	 * @return orders to send
 	 */
-	List<NodeAction> afterRead(long nowMillis) {
+	List<SendOrder> afterRead(long nowMillis) {
 		noteLease(nowMillis);
 		this.outbox.removeIf(this::hasTakenEffect);
-		List<NodeAction> actions = new ArrayList<>();
+		List<SendOrder> orders = new ArrayList<>();
 		for (OrderProgress progress : this.log.decisions()) {
 			progress.issue()
 				.filter((issued) -> progress.result().isEmpty() && issued.fencingNumber() == this.fencingNumber)
 				.filter((issued) -> this.seenIssues.add(issued.offset()))
 				.flatMap((issued) -> send(progress.order(), nowMillis))
-				.ifPresent(actions::add);
+				.ifPresent(orders::add);
 		}
-		return actions;
+		return orders;
 	}
 
 	private void noteLease(long nowMillis) {
@@ -137,7 +137,7 @@
 		return this.log.decision(((OrderRecord.Decision) record).order().decisionId()).isPresent();
 	}
 
-	private Optional<NodeAction> send(EngineOrder order, long nowMillis) {
+	private Optional<SendOrder> send(EngineOrder order, long nowMillis) {
 		Target target = this.capacity.catalogue().targets().get(order.target());
 		long validUntilMillis = validUntilMillis();
 		boolean spared = target != null
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderLog.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderLog.java
@@ -22,6 +22,8 @@
  */
 final class OrderLog {
 
+	private static final int DECISIONS_LIMIT = 10_000;
+
 	private final OrderSettings settings;
 
 	private final LogCoverage coverage = new LogCoverage();
@@ -97,7 +99,8 @@
 
 	private void decide(OrderRecord.Decision decision) {
 		EngineOrder order = decision.order();
-		if (this.logMillis > decision.voidAfterMillis() || this.decisions.containsKey(order.decisionId())) {
+		boolean full = this.decisions.size() >= DECISIONS_LIMIT;
+		if (full || this.logMillis > decision.voidAfterMillis() || this.decisions.containsKey(order.decisionId())) {
 			return;
 		}
 		this.decisions.values().removeIf((earlier) -> earlier.isWaiting() && earlier.order().isSupersededBy(order));
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
@@ -237,6 +237,18 @@
 		assertTrue(this.routers.answers.stream().allMatch((one) -> one.verdict() == ClaimVerdict.UNAVAILABLE));
 	}
 
+	@Test
+	public void outageThatLastsIsToldAtOnce() {
+		this.routers.readable = false;
+		this.routers.pass(1_500);
+		ask(A, "first");
+		assertEquals(answer("first").verdict(), ClaimVerdict.UNAVAILABLE);
+		this.routers.readable = true;
+		this.routers.pass(10);
+		claim(A, "second");
+		assertEquals(records(ClaimCodec.CLAIM), 1);
+	}
+
 	@Test
 	public void outageWhileNewOwnerReadsIsTold() {
 		this.routers.readable = false;
