--- a/mustardlane-router/src/main/java/org/mustardlane/router/RouterDaemon.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/RouterDaemon.java
@@ -76,6 +76,11 @@
 			logger.info("Stopped");
 			return 0;
 		}
+		catch (IllegalStateException | IllegalArgumentException ex) {
+			logger.error("The router can not start", ex);
+			System.err.println("The router can not start: " + ex.getMessage());
+			return EXIT_FAILED;
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			return EXIT_FAILED;
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/FrameReceiver.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/FrameReceiver.java
@@ -27,13 +27,24 @@
 
 	private final Runnable onEnd;
 
+	private final Runnable onFailure;
+
 	private volatile Optional<VmId> sender;
 
-	FrameReceiver(FrameStamp stamp, EventSink events, Optional<VmId> sender, Runnable onEnd) {
+	/**
+	 * Creates the receiver.
+	 * @param stamp learns from incoming frames
+	 * @param events takes what arrives
+	 * @param sender the other router, empty until its first frame names it
+	 * @param onEnd run where the other router ends the stream
+	 * @param onFailure run where the stream breaks
+	 */
+	FrameReceiver(FrameStamp stamp, EventSink events, Optional<VmId> sender, Runnable onEnd, Runnable onFailure) {
 		this.stamp = stamp;
 		this.events = events;
 		this.sender = sender;
 		this.onEnd = onEnd;
+		this.onFailure = onFailure;
 	}
 
 	@Override
@@ -58,7 +69,7 @@
 	@Override
 	public void onError(Throwable failure) {
 		logger.debug("The stream of {} ended: {}", this.sender, failure.getMessage());
-		this.onEnd.run();
+		this.onFailure.run();
 	}
 
 	@Override
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerLinks.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerLinks.java
@@ -92,7 +92,8 @@
 		}
 		PeerLink link = new PeerLink(this.stamp, (message) -> this.events.submit(new PeerUnreachable(peer, message)));
 		DialledPeer connection = new DialledPeer(address, this.dialer.dial(address), link);
-		connection.open(new FrameReceiver(this.stamp, this.events, Optional.of(peer), () -> ended(peer, connection)));
+		Runnable onEnd = () -> ended(peer, connection);
+		connection.open(new FrameReceiver(this.stamp, this.events, Optional.of(peer), onEnd, onEnd));
 		return connection;
 	}
 
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerService.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerService.java
@@ -38,7 +38,11 @@
 
 	@Override
 	public StreamObserver<PeerFrame> link(StreamObserver<PeerFrame> outgoing) {
-		return new FrameReceiver(this.stamp, this.events, Optional.empty(), outgoing::onCompleted);
+		return new FrameReceiver(this.stamp, this.events, Optional.empty(), outgoing::onCompleted,
+				PeerService::nothing);
+	}
+
+	private static void nothing() {
 	}
 
 	@Override
--- a/mustardlane-router/src/test/java/org/mustardlane/router/peer/PeerLinksTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/peer/PeerLinksTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,6 +14,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 
+import io.grpc.InsecureChannelCredentials;
+import io.grpc.ManagedChannel;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.testng.annotations.AfterMethod;
@@ -27,6 +32,8 @@
 import org.mustardlane.core.message.CatalogueRelayAsk;
 import org.mustardlane.core.model.common.RequestId;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.protocol.PeerFrame;
+import org.mustardlane.protocol.PeerServiceGrpc;
 import org.mustardlane.router.answer.AnswerHead;
 import org.mustardlane.router.answer.AnswerRelay;
 import org.mustardlane.router.worker.ActionTable;
@@ -137,6 +144,28 @@
 		assertEquals(this.atSelf, List.of(new PeerUnreachable(OTHER, new CatalogueRelayAsk(1))));
 	}
 
+	@Test
+	public void badFramesAndBadBytesLeaveTheOtherMessagesAlone() throws Exception {
+		try (GrpcServer server = serve(0); Socket garbage = new Socket("127.0.0.1", server.port())) {
+			garbage.getOutputStream().write("no HTTP/2 at all\r\n\r\n".getBytes());
+			ManagedChannel channel = NettyChannelBuilder
+				.forAddress("127.0.0.1", server.port(), InsecureChannelCredentials.create())
+				.build();
+			StreamObserver<PeerFrame> stream = PeerServiceGrpc.newStub(channel).link(new FrameSink());
+			stream.onNext(PeerFrame.getDefaultInstance());
+			stream.onNext(PeerFrame.newBuilder().setSenderVm("self").build());
+			stream.onNext(PeerFrame.newBuilder()
+				.setGrantAsk(org.mustardlane.protocol.GrantAsk.newBuilder().setServiceClass(99))
+				.build());
+			stream.onNext(PeerMessageEncoder.encode(new CatalogueRelayAsk(1)).build());
+			await().until(() -> this.atOther.contains(received(1)));
+			assertEquals(this.atOther.size(), 1);
+			channel.shutdownNow();
+			send(2);
+			await().until(() -> this.atOther.contains(received(2)));
+		}
+	}
+
 	@Test
 	public void answerOfAnotherRouterIsFetchedWhole() throws IOException {
 		AnswerRelay relay = new AnswerRelay(new FakeReader(), 1000);
@@ -222,4 +251,23 @@
 		}
 	}
 
+	/**
+	 * Takes frames and does nothing with them.
+	 */
+	private static final class FrameSink implements StreamObserver<PeerFrame> {
+
+		@Override
+		public void onNext(PeerFrame frame) {
+		}
+
+		@Override
+		public void onError(Throwable failure) {
+		}
+
+		@Override
+		public void onCompleted() {
+		}
+
+	}
+
 }
