--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/MeasureMain.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/MeasureMain.java
@@ -1,6 +1,8 @@
 package org.mustardlane.proof.measure;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.OperatingSystemMXBean;
 import java.nio.file.Path;
 import java.util.List;
 
@@ -36,9 +38,11 @@
 	private static int run(String[] args) {
 		try {
 			MeasureSettings settings = settings(args);
+			System.out.println(machine("start"));
 			List<ReportRow> rows = new MeasureRun(settings, System.err).run();
 			ReportWriter writer = new ReportWriter(rows, "mustardlane, seed " + settings.seed());
 			System.out.print(writer.table());
+			System.out.println(machine("end"));
 			writer.write(settings.directory());
 			System.out.println("CSV and plots are in " + settings.directory().toAbsolutePath());
 			return (settings.isChecked() && rows.stream().anyMatch(ReportRow::isMissed)) ? MISSED : 0;
@@ -53,6 +57,12 @@
 		}
 	}
 
+	private static String machine(String when) {
+		OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
+		return "load average of the machine at the %s: %.1f over %d processors".formatted(when,
+				system.getSystemLoadAverage(), system.getAvailableProcessors());
+	}
+
 	private static MeasureSettings settings(String[] args) throws ParseException {
 		Options options = new Options();
 		options.addOption(Option.builder().longOpt("check").get());
