--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/MembershipHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/MembershipHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
@@ -38,10 +39,10 @@
  * Knows which routers live: the VM list gives candidates, heartbeats give liveness.
  *
  * <p>
- * Each router sends its own heartbeat to every router of its failure domain, and all that
- * it knows to one random router elsewhere, which answers alike. So a loss is noticed soon
- * where ownership depends on it, and a message more or less costs little. Thread-safe by
- * one lock of rank {@link LockRank#MEMBERSHIP}.
+ * Each router sends its own heartbeat to every router of its failure domain, and the rows
+ * of its domain to the routers of one other domain after the other, so that each of them
+ * hears of the domain once a round. Thread-safe by one lock of rank
+ * {@link LockRank#MEMBERSHIP}.
  */
 public final class MembershipHandler implements EventHandler {
 
@@ -71,6 +72,8 @@
 
 	private VmList vmList = new VmList(0, List.of());
 
+	private long farTimeoutMillis = FarRotation.timeoutMillis(1, FAR_PERIOD_MILLIS);
+
 	private long counter;
 
 	private boolean draining;
@@ -121,7 +124,7 @@
 	public List<VmId> livePeers(long nowMillis) {
 		return this.lock.locked(() -> this.peers.values()
 			.stream()
-			.filter((peer) -> peer.isAlive(this.domain, nowMillis))
+			.filter((peer) -> isAlive(peer, nowMillis))
 			.map((peer) -> peer.heartbeat().vm())
 			.toList());
 	}
@@ -212,7 +215,8 @@
 		if (nowMillis >= this.farAtMillis) {
 			this.farAtMillis = nowMillis + FAR_PERIOD_MILLIS;
 			this.peers.values().removeIf((peer) -> peer.isForgotten(nowMillis - FORGET_AFTER_MILLIS));
-			tellRandomPeer(nowMillis).ifPresent(actions::add);
+			tellLostPeer(nowMillis).ifPresent(actions::add);
+			actions.addAll(tellOtherDomain(nowMillis));
 		}
 		return actions;
 	}
@@ -227,22 +231,53 @@
 			.toList();
 	}
 
-	private Optional<NodeAction> tellRandomPeer(long nowMillis) {
-		List<VmId> candidates = this.peers.values()
+	private Optional<NodeAction> tellLostPeer(long nowMillis) {
+		List<VmId> lost = this.peers.values()
 			.stream()
-			.filter((peer) -> !peer.heartbeat().domain().equals(this.domain) || peer.isLost(nowMillis))
+			.filter((peer) -> peer.isLost(nowMillis))
 			.map((peer) -> peer.heartbeat().vm())
 			.toList();
-		if (candidates.isEmpty()) {
+		if (lost.isEmpty()) {
 			return Optional.empty();
 		}
-		List<VmHeartbeat> known = new ArrayList<>(this.peers.values()
+		VmId chosen = lost.get(this.random.nextInt(lost.size()));
+		return Optional.of(new SendPeer(chosen, gossip(List.of(heartbeat()))));
+	}
+
+	private List<NodeAction> tellOtherDomain(long nowMillis) {
+		List<VmHeartbeat> own = ownDomain(nowMillis);
+		return FarRotation
+			.receivers(nowMillis / FAR_PERIOD_MILLIS, this.self, own.stream().map(VmHeartbeat::vm).toList(),
+					otherDomains())
+			.stream()
+			.<NodeAction>map((vm) -> new SendPeer(vm, gossip(own)))
+			.toList();
+	}
+
+	private List<VmHeartbeat> ownDomain(long nowMillis) {
+		List<VmHeartbeat> rows = new ArrayList<>(this.peers.values()
 			.stream()
-			.filter((peer) -> peer.isAlive(this.domain, nowMillis))
+			.filter((peer) -> peer.heartbeat().domain().equals(this.domain) && isAlive(peer, nowMillis))
 			.map((peer) -> peer.relayed(nowMillis))
 			.toList());
-		known.add(heartbeat());
-		return Optional.of(new SendPeer(candidates.get(this.random.nextInt(candidates.size())), gossip(known)));
+		rows.add(heartbeat());
+		return rows;
+	}
+
+	private SortedMap<DomainId, List<VmId>> otherDomains() {
+		SortedMap<DomainId, List<VmId>> domains = new TreeMap<>();
+		this.peers.values()
+			.stream()
+			.map(PeerLiveness::heartbeat)
+			.filter((heartbeat) -> !heartbeat.domain().equals(this.domain))
+			.forEach((heartbeat) -> domains.computeIfAbsent(heartbeat.domain(), (key) -> new ArrayList<>())
+				.add(heartbeat.vm()));
+		this.farTimeoutMillis = FarRotation.timeoutMillis(domains.size(), FAR_PERIOD_MILLIS);
+		return domains;
+	}
+
+	private boolean isAlive(PeerLiveness peer, long nowMillis) {
+		return peer.isAlive(this.domain, this.farTimeoutMillis, nowMillis);
 	}
 
 	private Gossip gossip(List<VmHeartbeat> heartbeats) {
@@ -268,7 +303,7 @@
 		Map<VmId, DomainId> routers = new TreeMap<>();
 		this.peers.values()
 			.stream()
-			.filter((peer) -> peer.isAlive(this.domain, nowMillis) && !peer.isDraining())
+			.filter((peer) -> isAlive(peer, nowMillis) && !peer.isDraining())
 			.forEach((peer) -> routers.put(peer.heartbeat().vm(), peer.heartbeat().domain()));
 		// A router that has just started owns nothing until it has heard of others or may
 		// take itself for alone.
--- a/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/membership/PeerLiveness.java
@@ -14,19 +14,17 @@
 
 	private static final long NEAR_TIMEOUT_MILLIS = 1800;
 
-	private static final long FAR_TIMEOUT_MILLIS = 6000;
-
 	private static final long UNREACHABLE_MILLIS = 1500;
 
-	private static final long LOST_AFTER_MILLIS = 10_000;
+	private static final long LOST_AFTER_MILLIS = 60_000;
 
-	private static final long NEVER = Long.MIN_VALUE / 2;
+	private static final long NEVER = Long.MIN_VALUE / 4;
 
 	private VmHeartbeat heartbeat;
 
 	private long heardAtMillis = NEVER;
 
-	private long unreachableAtMillis = NEVER;
+	private long unreachableAtMillis = 2 * NEVER;
 
 	private boolean leaving;
 
@@ -63,13 +61,12 @@
 			this.heardAtMillis = nowMillis - newer.silenceMillis();
 		}
 		if (restarted) {
-			this.unreachableAtMillis = NEVER;
+			this.unreachableAtMillis = 2 * NEVER;
 		}
 	}
 
 	void markUnreachable(long nowMillis) {
 		this.unreachableAtMillis = nowMillis;
-		this.heardAtMillis = Math.min(this.heardAtMillis, nowMillis - FAR_TIMEOUT_MILLIS);
 	}
 
 	void setLeaving(boolean leaving) {
@@ -80,10 +77,11 @@
 		return this.leaving || this.heartbeat.draining();
 	}
 
-	boolean isAlive(DomainId ownDomain, long nowMillis) {
+	boolean isAlive(DomainId ownDomain, long farTimeoutMillis, long nowMillis) {
 		boolean near = this.heartbeat.domain().equals(ownDomain);
-		long timeoutMillis = near ? NEAR_TIMEOUT_MILLIS : FAR_TIMEOUT_MILLIS;
-		boolean reachable = nowMillis - this.unreachableAtMillis >= UNREACHABLE_MILLIS;
+		long timeoutMillis = near ? NEAR_TIMEOUT_MILLIS : farTimeoutMillis;
+		boolean reachable = this.heardAtMillis > this.unreachableAtMillis
+				&& nowMillis - this.unreachableAtMillis >= UNREACHABLE_MILLIS;
 		return reachable && nowMillis - this.heardAtMillis < timeoutMillis;
 	}
 
