--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
@@ -120,6 +120,9 @@
 
 	private Optional<ShardId> shardWithRoom(Shard shard, GrantAsk ask, long nowMillis) {
 		int bound = shard.pool().bound(nowMillis);
+		if (!shard.pool().hasRoomElsewhere(bound)) {
+			return Optional.empty();
+		}
 		return this.route.route(shard.id().pool(), ask.chatHash())
 			.stream()
 			.filter((other) -> shard.pool().heard(other).filter((load) -> hasRoom(load, ask, bound)).isPresent())
@@ -128,7 +131,7 @@
 
 	private static boolean hasRoom(ShardLoad load, GrantAsk ask, int bound) {
 		boolean bulkWaits = ask.serviceClass() == ServiceClass.BULK && load.queued() > 0;
-		return !bulkWaits && load.granted() < Math.min(load.slots(), bound * load.openTargets());
+		return !bulkWaits && PoolLoad.hasRoom(load, bound);
 	}
 
 	private void queue(Shard shard, PendingAsk pending, long nowMillis, List<NodeAction> actions) {
@@ -204,7 +207,7 @@
 	 * @param actions takes the answers
 	 */
 	void redirect(Shard shard, long nowMillis, List<NodeAction> actions) {
-		boolean moved = !isNaive();
+		boolean moved = !isNaive() && shard.pool().hasRoomElsewhere(shard.pool().bound(nowMillis));
 		for (int i = 0; moved && i < REDIRECTS_PER_TICK && shard.queue().size() > 0; i++) {
 			moved = shard.queue().removeFirst((pending) -> redirect(shard, pending, nowMillis, actions));
 		}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/PoolLoad.java
@@ -111,6 +111,24 @@
 		this.ownOpenTargets += targetsChange;
 	}
 
+	/**
+	 * Tells whether some shard of another owner has room.
+	 * @param bound the load bound
+	 * @return true if one is below the bound and its slots
+	 */
+	boolean hasRoomElsewhere(int bound) {
+		for (HeardLoad heard : this.heardLoads.values()) {
+			if (hasRoom(heard.load(), bound)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	static boolean hasRoom(ShardLoad load, int bound) {
+		return load.granted() < Math.min(load.slots(), bound * load.openTargets());
+	}
+
 	int granted(long nowMillis) {
 		if (nowMillis >= this.warmUpEndMillis) {
 			return this.heardGranted + this.ownGranted;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
@@ -204,11 +204,19 @@
 		this.listedLeaving = leaving;
 	}
 
+	/**
+	 * Takes a poll that is due. The first one comes at once; the phase of the later ones
+	 * follows from the name, so that an owner does not poll all its targets together.
+	 * @param nowMillis the time
+	 * @param intervalMillis time between two polls
+	 * @return whether a poll is due
+	 */
 	boolean takePollDue(long nowMillis, int intervalMillis) {
 		if (nowMillis < this.nextPollMillis) {
 			return false;
 		}
-		this.nextPollMillis = Math.max(this.nextPollMillis, nowMillis - intervalMillis) + intervalMillis;
+		long phaseMillis = Math.floorMod(this.nameHash, intervalMillis);
+		this.nextPollMillis = nowMillis - Math.floorMod(nowMillis - phaseMillis, intervalMillis) + intervalMillis;
 		return true;
 	}
 
