Follow a silent stream anew and stop reading a lost partition

Cause: FollowStream and UnfollowStream come from different lanes of the router and may overtake one another; a partition then stayed unread, or a lost one was read for good. Change: a stream without a sign for 10 s is followed again, a claims stream without a partition is unfollowed. Without the change streamThatFallsSilentIsFollowedAgain fails.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimHandler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 
 import org.mustardlane.core.event.AppendLog;
 import org.mustardlane.core.event.EventHandler;
@@ -175,6 +176,9 @@
 	}
 
 	private List<NodeAction> read(LogRecordsRead read, long nowMillis) {
+		if (isForeign(read.stream())) {
+			return List.of(new UnfollowStream(read.stream()));
+		}
 		List<String> problems = new ArrayList<>();
 		List<NodeAction> actions = new ArrayList<>(
 				inPartition(read.stream(), (partition) -> partition.read(read, problems, nowMillis)));
@@ -184,6 +188,18 @@
 		return actions;
 	}
 
+	/**
+	 * Returns whether a stream of claims is read that this router has no use for, as
+	 * where an order to stop was overtaken by an older one to follow.
+	 * @param stream the stream
+	 * @return whether to stop reading it
+	 */
+	private boolean isForeign(StreamName stream) {
+		return IntStream.range(0, Ownership.CLAIM_PARTITIONS)
+			.filter((number) -> StreamName.claims(number).equals(stream))
+			.anyMatch((number) -> !this.partitions.containsKey(number));
+	}
+
 	private List<NodeAction> changeOwnership(Ownership ownership, long nowMillis) {
 		this.domain = ownership.selfDomain().value();
 		List<NodeAction> actions = new ArrayList<>();
--- a/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/claim/ClaimPartition.java
@@ -53,6 +53,8 @@
 
 	private final Set<String> queuedAttempts = new HashSet<>();
 
+	private final ReadWatch readWatch = new ReadWatch();
+
 	private boolean endSeen;
 
 	private long nextUpkeepMillis = Long.MIN_VALUE;
@@ -145,6 +147,7 @@
 	 * @return what is to be done
 	 */
 	List<NodeAction> read(LogRecordsRead event, List<String> problems, long nowMillis) {
+		this.readWatch.sign(nowMillis);
 		this.outageFromMillis = Long.MAX_VALUE;
 		LogCoverage coverage = this.window.coverage();
 		this.endSeen &= event.firstRetainedOffset() <= coverage.nextOffset();
@@ -178,6 +181,7 @@
 	 * @param nowMillis the time
 	 */
 	void readFailed(long nowMillis) {
+		this.readWatch.sign(nowMillis);
 		this.outageFromMillis = Math.min(this.outageFromMillis, nowMillis + READ_OUTAGE_MILLIS);
 	}
 
@@ -203,6 +207,9 @@
 			.filter((pending) -> pending.giveUpMillis() <= nowMillis)
 			.toList();
 		List<NodeAction> actions = new ArrayList<>(settleAll(due, nowMillis));
+		if (this.readWatch.isSilent(nowMillis)) {
+			actions.add(follow());
+		}
 		if (this.endSeen && this.nextUpkeepMillis <= nowMillis) {
 			upkeep(nowMillis).ifPresent(actions::add);
 		}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/order/OrderHandler.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 
 import org.mustardlane.core.claim.LogCoverage;
+import org.mustardlane.core.claim.ReadWatch;
 import org.mustardlane.core.event.CatalogueChanged;
 import org.mustardlane.core.event.EventHandler;
 import org.mustardlane.core.event.FollowStream;
 import org.mustardlane.core.event.LogAppendEnded;
+import org.mustardlane.core.event.LogReadFailed;
 import org.mustardlane.core.event.LogRecordsRead;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
@@ -56,6 +58,8 @@
 
 	private final OrderIssuer issuer;
 
+	private final ReadWatch readWatch = new ReadWatch();
+
 	private String domain = "";
 
 	private boolean candidate;
@@ -116,6 +120,9 @@
 		if (event instanceof LogAppendEnded ended) {
 			this.outbox.ended(ended);
 		}
+		else if (event instanceof LogReadFailed failed && failed.stream().equals(StreamName.ORDERS)) {
+			this.readWatch.sign(nowMillis);
+		}
 		else if (event instanceof OrderRequested requested) {
 			long voidAfterMillis = nowMillis + this.settings.decisionMillis();
 			this.outbox.put("decision " + requested.order().decisionId(),
@@ -149,6 +156,7 @@
 
 	private List<NodeAction> read(LogRecordsRead read, long nowMillis) {
 		LogCoverage coverage = this.log.coverage();
+		this.readWatch.sign(nowMillis);
 		coverage.skipTo(read.firstRetainedOffset());
 		if (!read.records().isEmpty() && read.records().get(0).offset() > coverage.nextOffset()) {
 			return List.of(follow());
@@ -175,6 +183,9 @@
 
 	private List<NodeAction> tick(long nowMillis) {
 		List<NodeAction> actions = new ArrayList<>();
+		if (this.readWatch.isSilent(nowMillis) && this.following) {
+			actions.add(follow());
+		}
 		if (this.candidate && this.endSeen) {
 			this.issuer.seekLease(nowMillis);
 			if (isHistoryWhole(nowMillis)) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimHandlerTests.java
@@ -237,6 +237,26 @@
 		assertTrue(this.routers.answers.stream().allMatch((one) -> one.verdict() == ClaimVerdict.UNAVAILABLE));
 	}
 
+	@Test
+	public void streamThatFallsSilentIsFollowedAgain() {
+		this.routers.loseFollowed(A);
+		this.routers.pass(10_100);
+		claim(A, "first");
+	}
+
+	@Test
+	public void partitionThatIsLostIsNoLongerRead() {
+		claim(A, "first");
+		this.routers.view(A, B);
+		this.routers.pass(29_000);
+		assertTrue(this.routers.follows(A, STREAM));
+		this.routers.pass(2_000);
+		assertFalse(this.routers.follows(A, STREAM));
+		this.routers.follow(A, STREAM);
+		this.routers.pass(100);
+		assertFalse(this.routers.follows(A, STREAM));
+	}
+
 	@Test
 	public void outageThatLastsIsToldAtOnce() {
 		this.routers.readable = false;
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/FakeRouters.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/FakeRouters.java
@@ -156,6 +156,21 @@
 		}
 	}
 
+	/**
+	 * Lets a router lose what it follows, as where an order to stop comes late.
+	 */
+	void loseFollowed(VmId vm) {
+		this.routers.get(vm).followed.clear();
+	}
+
+	boolean follows(VmId vm, StreamName stream) {
+		return this.routers.get(vm).followed.containsKey(stream);
+	}
+
+	void follow(VmId vm, StreamName stream) {
+		this.routers.get(vm).followed.put(stream, 1L);
+	}
+
 	void skew(VmId vm, long skewMillis) {
 		this.routers.get(vm).skewMillis = skewMillis;
 	}
