--- a/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/catalogue/CatalogueHandlerTests.java
@@ -1,5 +1,6 @@
 package org.mustardlane.core.catalogue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.testng.annotations.BeforeMethod;
@@ -234,4 +235,21 @@
 		assertEquals(this.one.handler.snapshot().revision(), 5);
 	}
 
+	@Test
+	public void passesOverARecordThatBreaksARuleOfItsItems() {
+		publishFirst();
+		String body = """
+				{"changeId":"x","author":"x","contentHash":1,"delta":{"targets":[],"entries":[],"removals":[],
+				"organisations":[{"revision":0,"item":{"id":"o2","keyDigest":"%s","concurrencyLimit":%d,"weight":1}}]}}
+				""";
+		for (int limit : new int[] { 0, 5 }) {
+			byte[] bytes = body.formatted(ChangeSamples.DIGEST, limit).getBytes(StandardCharsets.UTF_8);
+			this.log.append(List.of(new RecordBody(RecordType.CHANGE, bytes)), 4);
+		}
+		this.one.events();
+		this.one.read(100, 5);
+		assertEquals(this.one.events(), List.of("catalogue-record-corrupt", "catalogue-changed"));
+		assertEquals(this.one.handler.snapshot().revision(), 3);
+	}
+
 }
