Blame a target that can not be reached, and retry what was never started without a budget

Cause: a refused connection came back as NOT_SENT, like a dispatch deadline that had passed; its grant was released as unused, so the target was never eased out, and each retry took from the budget of extra attempts although it adds no load. Change: AttemptEnd.UNREACHABLE; the budget pays only for attempts that may have run.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -260,7 +260,7 @@
 		switch (event.end()) {
 			case WHOLE:
 				return whole(attempt, event, context, nowMillis);
-			case NOT_SENT, REFUSED:
+			case NOT_SENT, UNREACHABLE, REFUSED:
 				List<NodeAction> released = attempt.end(false, causeOf(event.end()), context, nowMillis);
 				return Actions.concat(released, failed(attempt, event.detail(), context, nowMillis));
 			default:
@@ -309,17 +309,19 @@
 		if (!isCallerWaiting() || !this.attempts.allEnded()) {
 			return List.of();
 		}
-		if (mayTryAgain(context, nowMillis)) {
+		if (mayTryAgain(attempt, context, nowMillis)) {
 			return newAttempt(context, nowMillis);
 		}
 		return giveUp(RefusalCode.TARGET_FAILED, detail, RETRY_AFTER_MILLIS, context, nowMillis);
 	}
 
-	private boolean mayTryAgain(FlowContext context, long nowMillis) {
+	private boolean mayTryAgain(Attempt failed, FlowContext context, long nowMillis) {
 		boolean repeatable = this.accepted.entry().idempotent() || !this.attempts.mayHaveRun();
 		boolean joinable = this.attempts.deliveredBytes() == 0 || this.accepted.entry().streaming();
-		return repeatable && joinable && this.attempts.mayFailAgain() && nowMillis < this.accepted.deadlineMillis()
-				&& context.budget().trySpend();
+		boolean possible = repeatable && joinable && this.attempts.mayFailAgain()
+				&& nowMillis < this.accepted.deadlineMillis();
+		// What no target has started costs no capacity when it is tried again.
+		return possible && (!failed.mayHaveRun() || context.budget().trySpend());
 	}
 
 	private List<NodeAction> newAttempt(FlowContext context, long nowMillis) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/AttemptEnd.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/AttemptEnd.java
@@ -15,6 +15,11 @@
 	 */
 	NOT_SENT,
 
+	/**
+	 * No connection to the target could be made, so nothing was sent.
+	 */
+	UNREACHABLE,
+
 	/**
 	 * The target said that it did not start the request.
 	 */
--- a/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
@@ -216,7 +216,12 @@
 			sent = this.sending;
 			this.parts.clear();
 		}
-		end(sent ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT, String.valueOf(cause.getMessage()));
+		end(sent ? AttemptEnd.BROKEN : endBeforeSending(cause), String.valueOf(cause.getMessage()));
+	}
+
+	private static AttemptEnd endBeforeSending(Throwable cause) {
+		boolean ownDecision = cause instanceof NotSentException || cause.getCause() instanceof NotSentException;
+		return ownDecision ? AttemptEnd.NOT_SENT : AttemptEnd.UNREACHABLE;
 	}
 
 	private void readerReady() {
