--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -8,15 +8,12 @@
 import org.mustardlane.core.event.AttemptEnded;
 import org.mustardlane.core.event.AttemptHeadReceived;
 import org.mustardlane.core.event.FinishAnswer;
-import org.mustardlane.core.event.JoinAnswer;
 import org.mustardlane.core.event.JoinEnded;
 import org.mustardlane.core.event.KeepAnswer;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.RefuseRequest;
-import org.mustardlane.core.event.SendPeer;
 import org.mustardlane.core.event.SendStoredAnswer;
 import org.mustardlane.core.message.ClaimAnswer;
-import org.mustardlane.core.message.ClaimCompletion;
 import org.mustardlane.core.message.GrantAnswer;
 import org.mustardlane.core.message.ReleaseCause;
 import org.mustardlane.core.message.StoredAnswer;
@@ -41,36 +38,22 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1000;
 
-	private static final long JOIN_AGAIN_MILLIS = 200;
-
-	private static final int MOST_JOINS = 3;
-
 	private static final int SERVER_ERROR_STATUS = 500;
 
-	private static final StoredAnswer TOO_LARGE = new StoredAnswer(0, "", new byte[0]);
-
 	private final AcceptedRequest accepted;
 
-	private final Optional<ClaimSeeker> claimSeeker;
+	private final ClaimStage claim;
 
 	private final AttemptSet attempts;
 
-	private boolean claimHeld;
-
-	private boolean joining;
-
-	private int joins;
-
 	private boolean callerServed;
 
 	private boolean callerGone;
 
-	private long claimOffset;
-
 	RequestFlow(AcceptedRequest accepted, long nowMillis) {
 		this.accepted = accepted;
 		this.attempts = new AttemptSet(accepted);
-		this.claimSeeker = accepted.claim().map((claim) -> new ClaimSeeker(accepted, claim, nowMillis));
+		this.claim = new ClaimStage(accepted, nowMillis);
 	}
 
 	AcceptedRequest accepted() {
@@ -82,7 +65,7 @@
 	 * @return true once the caller has its final word and no attempt runs
 	 */
 	boolean isOver() {
-		return !isCallerWaiting() && !this.joining && this.attempts.allEnded();
+		return !isCallerWaiting() && !this.claim.isJoining() && this.attempts.allEnded();
 	}
 
 	boolean isCallerWaiting() {
@@ -90,15 +73,13 @@
 	}
 
 	List<NodeAction> begin(FlowContext context, long nowMillis) {
-		return this.claimSeeker.map((seeker) -> seeker.ask(context, nowMillis))
-			.orElseGet(() -> newAttempt(context, nowMillis));
+		return this.claim.isOpen() ? this.claim.ask(context, nowMillis) : newAttempt(context, nowMillis);
 	}
 
 	List<NodeAction> claimAnswered(ClaimAnswer answer, FlowContext context, long nowMillis) {
-		if (this.claimSeeker.isEmpty() || !isClaiming() || !isAnswerToOwnClaim(answer)) {
+		if (!isClaiming() || !this.claim.isAnswered(answer)) {
 			return List.of();
 		}
-		ClaimSeeker seeker = this.claimSeeker.get();
 		switch (answer.verdict()) {
 			case HELD:
 				return claimHeld(answer.offset(), context, nowMillis);
@@ -109,48 +90,28 @@
 			case BODY_DIFFERS:
 				return refuse(Outcome.NOT_RUN, RefusalCode.KEY_REUSED, "the key was used with another body", 0);
 			case UNAVAILABLE:
-				return claimUnavailable(answer.retryAfterMillis());
+				return refuse(this.claim.unavailable(answer.retryAfterMillis()));
 			default:
-				seeker.ownerLost(nowMillis);
+				this.claim.ownerLost(nowMillis);
 				return List.of();
 		}
 	}
 
-	private List<NodeAction> claimUnavailable(long retryAfterMillis) {
-		if (joinedBefore()) {
-			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the router that holds the claim is gone",
-					RETRY_AFTER_MILLIS);
-		}
-		return refuse(Outcome.NOT_RUN, RefusalCode.LOG_UNAVAILABLE, "the request could not be claimed",
-				Math.max(1, retryAfterMillis));
-	}
-
-	private boolean joinedBefore() {
-		return this.joins > 0;
-	}
-
 	private boolean isClaiming() {
-		return isCallerWaiting() && !this.claimHeld && !this.joining;
-	}
-
-	private boolean isAnswerToOwnClaim(ClaimAnswer answer) {
-		return this.accepted.claim().filter((claim) -> claim.attemptId().equals(answer.attemptId())).isPresent();
+		return isCallerWaiting() && this.claim.isOpen();
 	}
 
 	private List<NodeAction> claimHeld(long offset, FlowContext context, long nowMillis) {
-		this.claimHeld = true;
-		this.claimOffset = offset;
+		this.claim.hold(offset);
 		return Actions.concat(List.of(new KeepAnswer(this.accepted.id(), KEPT_ANSWER_BYTES)),
 				newAttempt(context, nowMillis));
 	}
 
 	private List<NodeAction> join(ClaimAnswer answer) {
-		if (answer.holderVm().isEmpty() || answer.holderRequestId().isEmpty()) {
-			return refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request is claimed", RETRY_AFTER_MILLIS);
-		}
-		this.joining = true;
-		this.joins++;
-		return List.of(new JoinAnswer(this.accepted.id(), answer.holderVm().get(), answer.holderRequestId().get()));
+		return this.claim.join(answer)
+			.map(List::of)
+			.orElseGet(() -> refuse(Outcome.UNKNOWN, RefusalCode.HOLDER_GONE, "the request is claimed",
+					RETRY_AFTER_MILLIS));
 	}
 
 	private List<NodeAction> answerFromStore(ClaimAnswer answer) {
@@ -169,7 +130,7 @@
 	 * @return what is to be done
 	 */
 	List<NodeAction> joinEnded(JoinEnded event, long nowMillis) {
-		this.joining = false;
+		this.claim.stopJoining();
 		if (!isCallerWaiting()) {
 			return List.of();
 		}
@@ -180,12 +141,9 @@
 		if (event.deliveredBytes() > 0) {
 			return abort(RefusalCode.HOLDER_GONE, "the router that answers is gone");
 		}
-		if (this.joins >= MOST_JOINS) {
-			return claimUnavailable(RETRY_AFTER_MILLIS);
+		if (!this.claim.askAfterJoin(nowMillis)) {
+			return refuse(this.claim.unavailable(RETRY_AFTER_MILLIS));
 		}
-		// The holder may have released its claim, or its completion may be in the log by
-		// now.
-		this.claimSeeker.ifPresent((seeker) -> seeker.askAgainAt(nowMillis + JOIN_AGAIN_MILLIS));
 		return List.of();
 	}
 
@@ -219,7 +177,7 @@
 			attempt.seeker().ownerLost(nowMillis);
 			return GrantReturns.unused(answer, context);
 		}
-		return attempt.start(answer, target.get(), this.claimOffset, nowMillis);
+		return attempt.start(answer, target.get(), this.claim.offset(), nowMillis);
 	}
 
 	private List<NodeAction> grantRefused(Attempt attempt, GrantAnswer answer, FlowContext context, long nowMillis) {
@@ -274,7 +232,7 @@
 
 	private List<NodeAction> whole(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
 		List<NodeAction> actions = new ArrayList<>(attempt.end(true, ReleaseCause.COMPLETED, context, nowMillis));
-		actions.addAll(completion(event, context));
+		actions.addAll(this.claim.complete(event, context));
 		if (isCallerWaiting()) {
 			this.callerServed = true;
 			actions.add(new FinishAnswer(this.accepted.id()));
@@ -282,19 +240,6 @@
 		return actions;
 	}
 
-	private List<NodeAction> completion(AttemptEnded event, FlowContext context) {
-		if (this.claimSeeker.isEmpty()) {
-			return List.of();
-		}
-		ClaimIdentity claim = this.claimSeeker.get().claim();
-		ClaimCompletion completion = new ClaimCompletion(claim.claimKey(), claim.attemptId(),
-				event.keptAnswer().orElse(TOO_LARGE));
-		return this.claimSeeker.get()
-			.owner(context)
-			.<List<NodeAction>>map((owner) -> List.of(new SendPeer(owner, completion)))
-			.orElse(List.of());
-	}
-
 	private List<NodeAction> broken(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
 		boolean sameEngine = event.end() == AttemptEnd.BROKEN && isCallerWaiting();
 		if (sameEngine && this.attempts.isResumable(attempt)) {
@@ -340,8 +285,8 @@
 			return giveUp(RefusalCode.DEADLINE_PASSED, "the deadline has passed", RETRY_AFTER_MILLIS, context,
 					nowMillis);
 		}
-		if (isClaiming() && this.claimSeeker.isPresent()) {
-			return tickClaim(this.claimSeeker.get(), context, nowMillis);
+		if (isClaiming()) {
+			return tickClaim(context, nowMillis);
 		}
 		List<NodeAction> hedge = this.attempts.addHedgeIfLate(context, nowMillis)
 			.map((attempt) -> attempt.seeker().ask(context, nowMillis))
@@ -349,11 +294,11 @@
 		return Actions.concat(hedge, this.attempts.tick(context, nowMillis));
 	}
 
-	private List<NodeAction> tickClaim(ClaimSeeker seeker, FlowContext context, long nowMillis) {
-		if (!seeker.isPatienceOver(nowMillis)) {
-			return seeker.tick(context, nowMillis);
+	private List<NodeAction> tickClaim(FlowContext context, long nowMillis) {
+		if (!this.claim.isPatienceOver(nowMillis)) {
+			return this.claim.tick(context, nowMillis);
 		}
-		return Actions.concat(releaseClaim(context), claimUnavailable(RETRY_AFTER_MILLIS));
+		return Actions.concat(this.claim.release(context), refuse(this.claim.unavailable(RETRY_AFTER_MILLIS)));
 	}
 
 	List<NodeAction> ownershipChanged(FlowContext context, long nowMillis) {
@@ -365,7 +310,7 @@
 	}
 
 	void partitionOwnerLost(long nowMillis) {
-		this.claimSeeker.ifPresent((seeker) -> seeker.ownerLost(nowMillis));
+		this.claim.ownerLost(nowMillis);
 	}
 
 	/**
@@ -383,30 +328,30 @@
 		if (mustFinish) {
 			return List.of();
 		}
-		return Actions.concat(this.attempts.cancelAll(context, nowMillis), releaseClaim(context));
+		return Actions.concat(this.attempts.cancelAll(context, nowMillis), this.claim.release(context));
 	}
 
 	private List<NodeAction> giveUp(RefusalCode code, String message, long retryAfterMillis, FlowContext context,
 			long nowMillis) {
-		boolean run = this.attempts.mayHaveRun() || joinedBefore();
-		this.joining = false;
+		boolean run = this.attempts.mayHaveRun() || this.claim.hasJoined();
+		this.claim.stopJoining();
 		boolean keepRunning = run && !this.accepted.entry().idempotent();
 		List<NodeAction> cancelled = keepRunning ? List.of() : this.attempts.cancelAll(context, nowMillis);
 		if (this.attempts.isForwarding()) {
 			return Actions.concat(cancelled, abort(code, message));
 		}
-		List<NodeAction> claim = run ? List.of() : releaseClaim(context);
+		List<NodeAction> released = run ? List.of() : this.claim.release(context);
 		Outcome outcome = run ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-		return Actions.concat(cancelled, claim, refuse(outcome, code, message, retryAfterMillis));
+		return Actions.concat(cancelled, released, refuse(outcome, code, message, retryAfterMillis));
 	}
 
-	private List<NodeAction> releaseClaim(FlowContext context) {
-		return this.claimSeeker.map((seeker) -> seeker.release(context)).orElse(List.of());
+	private List<NodeAction> refuse(Outcome outcome, RefusalCode code, String message, long retryAfterMillis) {
+		return refuse(new Refusal(outcome, code, message, retryAfterMillis));
 	}
 
-	private List<NodeAction> refuse(Outcome outcome, RefusalCode code, String message, long retryAfterMillis) {
+	private List<NodeAction> refuse(Refusal refusal) {
 		this.callerServed = true;
-		return List.of(new RefuseRequest(this.accepted.id(), new Refusal(outcome, code, message, retryAfterMillis)));
+		return List.of(new RefuseRequest(this.accepted.id(), refusal));
 	}
 
 	private List<NodeAction> abort(RefusalCode code, String message) {
