--- a/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
+++ b/mustardlane-proof/src/test/java/org/mustardlane/proof/scenario/FleetSteps.java
@@ -62,7 +62,8 @@
 
 	@When("I restart {word}")
 	public void restart(String vm) throws FleetException {
-		this.world.fleet().restartRouter(vm);
+		RouterHandle router = this.world.fleet().restartRouter(vm);
+		this.world.fleet().awaitRevision(router, this.world.fleet().firstRevision());
 	}
 
 	@When("I start {word} in {string}")
