--- a/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/target/TargetHealth.java
@@ -80,6 +80,7 @@
 		}
 		if (whole) {
 			this.failuresInARow = 0;
+			this.pollFailuresInARow = 0;
 		}
 		this.silent = false;
 		this.probesInFlight = Math.max(0, this.probesInFlight - 1);
@@ -95,7 +96,8 @@
 	}
 
 	/**
-	 * Takes the end of a poll of the load.
+	 * Takes the end of a poll of the load. Failed polls count only where no whole answer
+	 * comes between them: a target may serve well and report nothing.
 	 * @param answered whether the target answered
 	 */
 	public void polled(boolean answered) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/target/HealthReviewTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/target/HealthReviewTests.java
@@ -115,6 +115,19 @@
 		assertFalse(four.get(1).isOpen());
 	}
 
+	@Test
+	public void targetThatServesButReportsNothingStaysOpen() {
+		HealthReview fresh = new HealthReview();
+		List<TargetHealth> pair = Stream.generate(TargetHealth::new).limit(2).toList();
+		for (int i = 0; i < 10; i++) {
+			pair.forEach((target) -> target.polled(false));
+			answer(pair.get(0), 50, 10);
+			fresh.review(pair, this.nowMillis);
+		}
+		assertTrue(pair.get(0).isOpen());
+		assertFalse(pair.get(1).isOpen());
+	}
+
 	@Test
 	public void closesATargetThatFellSilent() {
 		HealthReview fresh = new HealthReview();
