--- a/mustardlane-core/src/test/java/org/mustardlane/core/admission/FleetMeasureTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/FleetMeasureTests.java
@@ -10,6 +10,7 @@
 
 import org.mustardlane.core.model.catalogue.ServiceClass;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -201,6 +202,28 @@
 		}
 	}
 
+	@Test
+	public void ownersThatDrainOneAfterAnother() {
+		SimulatedFleet fleet = fleet(Way.OWNERS);
+		int most = 0;
+		for (int i = 0; i < 20_000 / SimulatedFleet.STEP_MILLIS; i++) {
+			if (i % 800 == 400) {
+				fleet.drain(fleet.ownerOf(i / 800), 1000);
+			}
+			offer(fleet, ServiceClass.INTERACTIVE, "org-" + i % 4, CAPACITY_PER_SECOND * 0.8, 300, 20_000);
+			fleet.run(SimulatedFleet.STEP_MILLIS);
+			most = Math.max(most, fleet.busy().stream().mapToInt(Integer::intValue).max().orElse(0));
+		}
+		fleet.run(20_000);
+		long open = fleet.requests().stream().filter((r) -> !r.refused && r.endedAtMillis == 0).count();
+		long refused = fleet.requests().stream().filter((request) -> request.refused).count();
+		print("drain: %d requests, %d refused, most on an engine of %d slots: %d, first token p99 %d",
+				fleet.requests().size(), refused, SimulatedEngine.SLOTS, most,
+				percentile(fleet.requests(), 0.99, (request) -> true, SimulatedRequest::firstTokenMillis));
+		assertEquals(open, 0);
+		assertTrue(most <= SimulatedEngine.SLOTS + 2, "most on an engine " + most);
+	}
+
 	@Test
 	public void steady() {
 		for (Way way : ways()) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/admission/SimulatedFleet.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/admission/SimulatedFleet.java
@@ -13,6 +13,7 @@
 
 import org.mustardlane.core.chat.ShardRoute;
 import org.mustardlane.core.event.CatalogueChanged;
+import org.mustardlane.core.event.DrainRequested;
 import org.mustardlane.core.event.NodeAction;
 import org.mustardlane.core.event.NodeEvent;
 import org.mustardlane.core.event.OwnershipChanged;
@@ -241,6 +242,24 @@
 		}
 	}
 
+	/**
+	 * Drains a router; the others learn of it within a time, each at another moment.
+	 */
+	void drain(VmId leaver, int withinMillis) {
+		take(leaver, new DrainRequested(this.nowMillis + 30_000));
+		this.routers.keySet().forEach((vm) -> after(this.random.nextInt(withinMillis), () -> {
+			Map<VmId, DomainId> live = new HashMap<>(this.views.get(vm).routers());
+			live.remove(leaver);
+			this.views.put(vm, new Ownership(vm, this.views.get(vm).selfDomain(), live));
+			take(vm, new OwnershipChanged(this.views.get(vm)));
+		}));
+	}
+
+	VmId ownerOf(int engine) {
+		ShardId shard = this.catalogue.shardOfTarget().get(AdmissionFixture.target(engine));
+		return this.views.get(this.routers.keySet().iterator().next()).shardOwner(shard).orElseThrow();
+	}
+
 	/**
 	 * Lets each refused request come back once, when it was told to.
 	 */
