Take what is released off the reports that a new owner relies on

Change: releases after the arrival of a report, also of grants of the old owner, are taken off it; own grants since the report before count only while they last.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/AdmissionHandler.java
@@ -203,7 +203,8 @@
 			}
 			shard.grant(key)
 				.filter((grant) -> grant.grantId() == release.grantId())
-				.ifPresent((grant) -> end(shard, grant, release, nowMillis));
+				.ifPresentOrElse((grant) -> end(shard, grant, release, nowMillis),
+						() -> shard.target(release.target()).ifPresent(TargetSlots::releaseUnknown));
 			this.granter.dispatch(shard, nowMillis, actions);
 		});
 	}
@@ -262,7 +263,7 @@
 	private void report(LoadReport report, long nowMillis, List<NodeAction> actions) {
 		this.table.ownedShardOf(report.target()).ifPresent((shard) -> {
 			shard.target(report.target()).ifPresent((slots) -> {
-				slots.report(report, nowMillis);
+				slots.report(report, shard.grants(report.target()), nowMillis);
 				slots.health().polled(true);
 			});
 			shard.recount();
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Shard.java
@@ -244,6 +244,10 @@
 		return this.grants.values();
 	}
 
+	List<Grant> grants(TargetId target) {
+		return this.grants.values().stream().filter((grant) -> grant.target().equals(target)).toList();
+	}
+
 	Optional<Grant> grant(AskKey key) {
 		return Optional.ofNullable(this.grants.get(key));
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/TargetSlots.java
@@ -1,5 +1,7 @@
 package org.mustardlane.core.admission;
 
+import java.util.List;
+
 import org.mustardlane.core.model.catalogue.ServiceClass;
 import org.mustardlane.core.model.catalogue.Target;
 import org.mustardlane.core.model.common.Rendezvous;
@@ -42,9 +44,11 @@
 
 	private int reportedBusy = UNREPORTED;
 
-	private int grantedBeforeReport;
+	private int youngGranted;
+
+	private long youngSinceMillis;
 
-	private int grantedSinceReport;
+	private int releasedSinceReport;
 
 	private int mostGrantedBeforeReport;
 
@@ -107,7 +111,7 @@
 		if (this.reportedBusy == UNREPORTED) {
 			return Integer.MAX_VALUE;
 		}
-		return Math.max(this.granted, this.reportedBusy + this.grantedBeforeReport + this.grantedSinceReport);
+		return Math.max(this.granted, this.reportedBusy - this.releasedSinceReport + this.youngGranted);
 	}
 
 	/**
@@ -127,14 +131,15 @@
 	void startWarmUp(long endMillis, long firstPollMillis) {
 		this.warmUpEndMillis = endMillis;
 		this.reportedBusy = UNREPORTED;
-		this.grantedBeforeReport = 0;
-		this.grantedSinceReport = 0;
+		this.youngGranted = 0;
+		this.youngSinceMillis = firstPollMillis;
+		this.releasedSinceReport = 0;
 		this.nextPollMillis = firstPollMillis;
 	}
 
 	void addGrant(Grant grant) {
 		count(grant, 1);
-		this.grantedSinceReport++;
+		this.youngGranted++;
 		this.health.granted(grant.grantedAtMillis());
 	}
 
@@ -144,6 +149,23 @@
 
 	void removeGrant(Grant grant) {
 		count(grant, -1);
+		if (isYoung(grant)) {
+			this.youngGranted--;
+		}
+		else {
+			releaseUnknown();
+		}
+	}
+
+	/**
+	 * Counts the end of a request that an earlier owner granted.
+	 */
+	void releaseUnknown() {
+		this.releasedSinceReport++;
+	}
+
+	private boolean isYoung(Grant grant) {
+		return grant.entry().isPresent() && grant.grantedAtMillis() >= this.youngSinceMillis;
 	}
 
 	private void count(Grant grant, int change) {
@@ -173,9 +195,12 @@
 	 * Takes a report. More requests than this owner granted since the report before are a
 	 * sign that another owner grants too.
 	 * @param report the report
+	 * @param grants the grants of the target that are in use
 	 * @param nowMillis the time
 	 */
-	void report(LoadReport report, long nowMillis) {
+	void report(LoadReport report, List<Grant> grants, long nowMillis) {
+		this.youngSinceMillis = this.reportedAtMillis;
+		this.youngGranted = (int) grants.stream().filter(this::isYoung).count();
 		int busy = report.running() + report.waiting();
 		if (busy > Math.max(this.mostGrantedBeforeReport, this.mostGrantedSinceReport) + FOREIGN_SLACK) {
 			this.foreignSeenMillis = nowMillis;
@@ -185,8 +210,7 @@
 		this.mostGrantedSinceReport = this.granted;
 		this.reportedLeaving = report.leaving();
 		this.reportedBusy = report.running() + report.waiting();
-		this.grantedBeforeReport = this.grantedSinceReport;
-		this.grantedSinceReport = 0;
+		this.releasedSinceReport = 0;
 	}
 
 	/**
