--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/MeasureRun.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/measure/MeasureRun.java
@@ -26,6 +26,11 @@
 
 	private static final Experiment OVERHEAD = new OverheadExperiment();
 
+	/**
+	 * Share of calls that the all-seeing router must answer to serve as a reference.
+	 */
+	private static final double LEAST_ANSWERED = 0.99;
+
 	private final MeasureSettings settings;
 
 	private final PrintStream progress;
@@ -68,8 +73,10 @@
 			Map<String, Map<String, Double>> allSeeing) {
 		if (figures.containsKey(CACHE.name()) && allSeeing.containsKey(CACHE.name())) {
 			Map<String, Double> own = figures.get(CACHE.name());
-			double reference = allSeeing.get(CACHE.name()).get(CacheExperiment.REUSE);
-			own.put(Goal.REUSE_RATIO, own.get(CacheExperiment.REUSE) / reference);
+			Map<String, Double> reference = allSeeing.get(CACHE.name());
+			boolean isUsable = reference.get(CacheExperiment.ANSWERED) >= LEAST_ANSWERED;
+			own.put(Goal.REUSE_RATIO,
+					isUsable ? own.get(CacheExperiment.REUSE) / reference.get(CacheExperiment.REUSE) : Double.NaN);
 		}
 	}
 
