--- a/mustardlane-core/src/main/java/org/mustardlane/core/message/ShardLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/message/ShardLoad.java
@@ -7,7 +7,7 @@
  *
  * @param shard the shard
  * @param version grows with each message of the owner; starts from its incarnation
- * @param granted requests that hold a grant
+ * @param granted requests that hold a grant on an open target
  * @param queued requests that wait
  * @param openTargets targets that take new work
  * @param slots most requests that the open targets run at once
