Start over when nothing of a broken answer was seen

Cause: scenario 'A service ends its answers too early': an idempotent call whose plain answer came short ended in 502 unknown, although the router still held the answer back whole. Change: AttemptEnd.BROKEN_UNSEEN; the relay starts over, and the request is tried once more. RequestHandlerTests, AnswerRelayTests and those beside them: 124 passed, 0 failed.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/AttemptSet.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/AttemptSet.java
@@ -80,6 +80,13 @@
 		return this.forwarded.isPresent();
 	}
 
+	/**
+	 * Starts over: nothing of the answer that was passed on has been seen.
+	 */
+	void forgetForwarded() {
+		this.forwarded = Optional.empty();
+	}
+
 	long deliveredBytes() {
 		return this.forwarded.map(Attempt::deliveredBytes).orElse(0L);
 	}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/RequestFlow.java
@@ -241,6 +241,9 @@
 	}
 
 	private List<NodeAction> broken(Attempt attempt, AttemptEnded event, FlowContext context, long nowMillis) {
+		if (event.end() == AttemptEnd.BROKEN_UNSEEN) {
+			this.attempts.forgetForwarded();
+		}
 		boolean sameEngine = event.end() == AttemptEnd.BROKEN && isCallerWaiting();
 		if (sameEngine && this.attempts.isResumable(attempt)) {
 			return this.attempts.resume(attempt, nowMillis);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/AttemptEnd.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/execution/AttemptEnd.java
@@ -30,6 +30,12 @@
 	 */
 	BROKEN,
 
+	/**
+	 * As {@link #BROKEN}, while the answer was still held back whole, so that its caller
+	 * has seen none of it.
+	 */
+	BROKEN_UNSEEN,
+
 	/**
 	 * The request was sent and the target fell silent.
 	 */
--- a/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
@@ -231,6 +231,14 @@
 		assertEquals(this.fleet.grant(2, 6, FlowFixture.SECOND).only(StartAttempt.class).kind(), AttemptKind.CONTINUE);
 	}
 
+	@Test
+	public void startsOverWhenNothingOfABrokenAnswerWasSeen() {
+		streamBytes(30);
+		this.fleet.handle(ended(1, AttemptEnd.BROKEN_UNSEEN), 50);
+		StartAttempt again = this.fleet.grant(2, 6, FlowFixture.SECOND).only(StartAttempt.class);
+		assertEquals(again.kind(), AttemptKind.FRESH);
+	}
+
 	@Test
 	public void breaksAnswerVisiblyAtDeadlineInMidStream() {
 		streamBytes(30);
--- a/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerReader.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerReader.java
@@ -35,4 +35,19 @@
 	 */
 	void abort(Refusal refusal);
 
+	/**
+	 * Tells whether an answer is held back until it is whole.
+	 * @param head its head
+	 * @return whether nothing of a broken answer with this head is ever seen
+	 */
+	default boolean holds(AnswerHead head) {
+		return false;
+	}
+
+	/**
+	 * Forgets what is held back; the head of another answer follows.
+	 */
+	default void restart() {
+	}
+
 }
--- a/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerRelay.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/answer/AnswerRelay.java
@@ -64,6 +64,25 @@
 		pumpJoined();
 	}
 
+	/**
+	 * Starts over after a broken answer of which nothing has been seen.
+	 * @return false where a part may have been seen
+	 */
+	public boolean restart() {
+		synchronized (this) {
+			boolean unseen = this.head.filter(this.caller::holds).isPresent() && this.joined.isEmpty();
+			if (!unseen || this.finished || this.aborted.isPresent()) {
+				return false;
+			}
+			this.head = Optional.empty();
+			this.copy = new ByteArrayOutputStream(0);
+			this.copyWhole = true;
+			this.deliveredBytes = 0;
+		}
+		this.caller.restart();
+		return true;
+	}
+
 	/**
 	 * Passes a part on.
 	 * @param part the bytes
--- a/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerResponse.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/caller/CallerResponse.java
@@ -102,6 +102,22 @@
 		this.channel.eventLoop().execute(() -> endWith(RefusalResponses.of(refusal)));
 	}
 
+	@Override
+	public boolean holds(AnswerHead answerHead) {
+		OptionalLong length = answerHead.contentLengthBytes();
+		return length.isPresent() && length.getAsLong() <= this.heldBytesLimit;
+	}
+
+	@Override
+	public void restart() {
+		this.channel.eventLoop().execute(() -> {
+			if (this.state == State.HELD) {
+				this.state = State.NEW;
+				this.held = new ByteArrayOutputStream(0);
+			}
+		});
+	}
+
 	/**
 	 * Sends an answer that was kept.
 	 * @param answer the answer
@@ -135,9 +151,7 @@
 	}
 
 	private void beginNow() {
-		OptionalLong length = this.head.contentLengthBytes();
-		boolean small = length.isPresent() && length.getAsLong() <= this.heldBytesLimit;
-		if (small || !this.chunksAllowed) {
+		if (holds(this.head) || !this.chunksAllowed) {
 			this.state = State.HELD;
 			return;
 		}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
@@ -120,6 +120,10 @@
 		this.events.submit(new AttemptBytesReceived(this.start.requestId(), this.start.attempt(), totalBytes));
 	}
 
+	private synchronized boolean isForwarded() {
+		return this.forwarded;
+	}
+
 	private void log(AttemptEnd end, String detail) {
 		try (CloseableThreadContext.Instance context = CloseableThreadContext.put("requestId",
 				this.start.requestId().value())) {
@@ -137,7 +141,9 @@
 		else {
 			log(end, detail);
 		}
-		this.events.submit(new AttemptEnded(this.start.requestId(), this.start.attempt(), end, detail, kept));
+		boolean unseen = end == AttemptEnd.BROKEN && isForwarded() && this.exchange.relay().restart();
+		AttemptEnd told = unseen ? AttemptEnd.BROKEN_UNSEEN : end;
+		this.events.submit(new AttemptEnded(this.start.requestId(), this.start.attempt(), told, detail, kept));
 		this.onEnd.run();
 	}
 
--- a/mustardlane-router/src/test/java/org/mustardlane/router/answer/AnswerRelayTests.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/answer/AnswerRelayTests.java
@@ -45,6 +45,26 @@
 		assertEquals(late.body() + " " + late.end(), "onetwo finished");
 	}
 
+	@Test
+	public void heldAnswerThatBreaksStartsOver() {
+		RecordingReader reader = new RecordingReader(false);
+		AnswerRelay relay = relay(reader);
+		relay.begin(new AnswerHead(200, "text/plain", OptionalLong.of(6)));
+		write(relay, "one");
+		assertTrue(relay.restart());
+		relay.begin(new AnswerHead(200, "text/plain", OptionalLong.of(6)));
+		write(relay, "second");
+		relay.finish();
+		assertEquals(reader.body() + " " + reader.end(), "second finished");
+	}
+
+	@Test
+	public void streamedAnswerNeverStartsOver() {
+		AnswerRelay relay = relay(new RecordingReader(false));
+		relay.begin(HEAD);
+		assertFalse(relay.restart());
+	}
+
 	@Test
 	public void slowJoinedReaderHoldsNobodyBack() {
 		RecordingReader slow = new RecordingReader(true);
--- a/mustardlane-router/src/test/java/org/mustardlane/router/answer/RecordingReader.java
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/answer/RecordingReader.java
@@ -41,6 +41,16 @@
 		}
 	}
 
+	@Override
+	public boolean holds(AnswerHead head) {
+		return head.contentLengthBytes().isPresent();
+	}
+
+	@Override
+	public void restart() {
+		this.body.reset();
+	}
+
 	@Override
 	public void finish() {
 		this.end += "finished";
