Ask for a claim as a new attempt after a final answer

Cause: the claims' owner keeps an attempt that it has refused refused (decision 0020), but a request whose join failed asked again under the same attempt id, so it could never get the key although its holder had released it. Change: each ask after a final answer has an attempt id of its own.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/ClaimSeeker.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/ClaimSeeker.java
@@ -23,11 +23,15 @@
 
 	private static final long ASK_AGAIN_MILLIS = 1000;
 
+	private static final char ATTEMPT_SEPARATOR = '/';
+
 	private static final long OWNER_LOST_MILLIS = 50;
 
 	private final AcceptedRequest accepted;
 
-	private final ClaimIdentity claim;
+	private ClaimIdentity claim;
+
+	private int finalAnswers;
 
 	private final int partition;
 
@@ -63,7 +67,15 @@
 		this.askAgainAtMillis = Math.min(this.askAgainAtMillis, nowMillis + OWNER_LOST_MILLIS);
 	}
 
-	void askAgainAt(long millis) {
+	/**
+	 * Asks once more after a final answer, as a new attempt: the earlier one stays
+	 * refused.
+	 * @param millis when to ask
+	 */
+	void askAnewAt(long millis) {
+		this.finalAnswers++;
+		String attemptId = this.accepted.id().value() + ATTEMPT_SEPARATOR + this.finalAnswers;
+		this.claim = new ClaimIdentity(this.claim.claimKey(), attemptId);
 		this.askAgainAtMillis = millis;
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/ClaimStage.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/ClaimStage.java
@@ -78,7 +78,7 @@
 	}
 
 	boolean isAnswered(ClaimAnswer answer) {
-		return this.accepted.claim().filter((claim) -> claim.attemptId().equals(answer.attemptId())).isPresent();
+		return this.seeker.filter((open) -> open.claim().attemptId().equals(answer.attemptId())).isPresent();
 	}
 
 	List<NodeAction> ask(FlowContext context, long nowMillis) {
@@ -130,7 +130,7 @@
 		if (this.joins >= MOST_JOINS) {
 			return false;
 		}
-		this.seeker.ifPresent((open) -> open.askAgainAt(nowMillis + JOIN_AGAIN_MILLIS));
+		this.seeker.ifPresent((open) -> open.askAnewAt(nowMillis + JOIN_AGAIN_MILLIS));
 		return true;
 	}
 
