Refuse at once what a queue can serve only if nothing more urgent comes

Ruled out: slow answers of the router (queued requests are refused the moment they can no longer be met). Change: the work ahead counts one and a half times.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/admission/Granter.java
@@ -26,6 +26,9 @@
 
 	private static final int REDIRECTS_PER_TICK = 8;
 
+	// More urgent work that comes later goes ahead of what waits.
+	private static final double BACKLOG_MARGIN = 1.5;
+
 	private final AdmissionSettings settings;
 
 	private final TargetChoice choice;
@@ -142,7 +145,7 @@
 		if (!shard.hasTargetFor(pending.ask().excludedTargets())) {
 			actions.add(refuse(shard, pending, RefusalCode.NO_TARGET, nowMillis));
 		}
-		else if (nowMillis + backlogMillis(shard, pending) > pending.latestStartMillis()) {
+		else if (nowMillis + BACKLOG_MARGIN * backlogMillis(shard, pending) > pending.latestStartMillis()) {
 			RefusalCode code = isAtLimit(shard, pending) ? RefusalCode.LIMIT_REACHED : RefusalCode.OVERLOADED;
 			actions.add(refuse(shard, pending, code, nowMillis));
 		}
