Try targets again once all of a pool have failed a request

Change: shards without an untried target are left out; where none is left, all are tried again, up to the limit of failures.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/execution/GrantSeeker.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/execution/GrantSeeker.java
@@ -70,9 +70,24 @@
 		List<ShardId> reachable = all.stream()
 			.filter((shard) -> !context.ownership().inDomain(shard.domain()).isEmpty())
 			.toList();
-		List<ShardId> route = reachable.isEmpty() ? all : reachable;
-		return route.isEmpty() ? Optional.empty()
-				: Optional.of(new GrantSeeker(accepted, attempt, excludedTargets, route));
+		List<ShardId> candidates = reachable.isEmpty() ? all : reachable;
+		List<ShardId> untried = candidates.stream()
+			.filter((shard) -> hasTargetBeside(excludedTargets, shard, context))
+			.toList();
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		// Where every target has failed once, each may be tried again.
+		return Optional.of(untried.isEmpty() ? new GrantSeeker(accepted, attempt, Set.of(), candidates)
+				: new GrantSeeker(accepted, attempt, excludedTargets, untried));
+	}
+
+	private static boolean hasTargetBeside(Set<TargetId> excludedTargets, ShardId shard, FlowContext context) {
+		return context.catalogue()
+			.shards()
+			.getOrDefault(shard, List.of())
+			.stream()
+			.anyMatch((target) -> !excludedTargets.contains(target.id()));
 	}
 
 	ShardId shard() {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/execution/RequestHandlerTests.java
@@ -295,6 +295,13 @@
 		assertEquals(this.fleet.messages(GrantRelease.class).findAny().orElseThrow().cause(), ReleaseCause.FAILED);
 	}
 
+	@Test
+	public void triesTargetsAgainOnceAllHaveFailed() {
+		this.fleet.arrive(FlowFixture.CHAT).grant(1, 5, FlowFixture.FIRST).handle(ended(1, AttemptEnd.UNREACHABLE), 20);
+		this.fleet.grant(2, 6, FlowFixture.SECOND).handle(ended(2, AttemptEnd.UNREACHABLE), 30);
+		assertTrue(this.fleet.messages(GrantAsk.class).findAny().orElseThrow().excludedTargets().isEmpty());
+	}
+
 	@Test
 	public void drainsOnceNoRequestHasComeForAWhile() {
 		this.fleet.handle(new DrainRequested(60_000), 1000).handle(new Tick(), 2000);
