Never resume an answer at an offset below what was delivered

The count of a part was told to the node after the part was written; when the connection broke on another thread in between, the end was handled first and the resumed attempt began one part too early. Ruled out: the engine (the generation's own text has the token once), the copy for continuations (RESUME takes none). Change: the count goes out before the part; an end waits for a part that is being handed over; an attempt whose offset is not that of the delivered bytes is not sent.

--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestActions.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RequestActions.java
@@ -141,6 +141,10 @@
 			this.workers.submit(notSent(start, "the delivered bytes are not kept"));
 			return;
 		}
+		if (start.kind() != AttemptKind.FRESH && start.offsetBytes() != exchange.relay().deliveredBytes()) {
+			this.workers.submit(notSent(start, "the offset is not that of the delivered bytes"));
+			return;
+		}
 		RunningAttempt running = running(start, exchange, body.get());
 		exchange.add(start.attempt(), running);
 		this.workers.handle(new AttemptSending(start.requestId(), start.attempt()));
--- a/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/exchange/RunningAttempt.java
@@ -116,8 +116,11 @@
 
 	@Override
 	public void partReceived(byte[] part, long totalBytes, Runnable ready) {
-		this.exchange.relay().write(part, ready);
+		// The count goes out first: once the part is written, the next part or the end
+		// may
+		// follow on another thread.
 		this.events.submit(new AttemptBytesReceived(this.start.requestId(), this.start.attempt(), totalBytes));
+		this.exchange.relay().write(part, ready);
 	}
 
 	private synchronized boolean isForwarded() {
--- a/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/target/TargetAttempt.java
@@ -72,6 +72,10 @@
 
 	private boolean ended;
 
+	private int deliveries;
+
+	private Optional<Runnable> endAfterDelivery = Optional.empty();
+
 	/**
 	 * Creates an attempt.
 	 * @param request what is sent
@@ -284,6 +288,7 @@
 			part = this.parts.poll();
 			if (part != null) {
 				this.readerBusy = true;
+				this.deliveries++;
 				this.queuedBytes -= part.length;
 				this.receivedBytes += part.length;
 			}
@@ -291,11 +296,24 @@
 		}
 		if (part != null) {
 			this.observer.partReceived(part, totalBytes, this::readerReady);
+			delivered();
 			return;
 		}
 		endOrReadOn();
 	}
 
+	private void delivered() {
+		Optional<Runnable> due = Optional.empty();
+		synchronized (this) {
+			this.deliveries--;
+			if (this.deliveries == 0) {
+				due = this.endAfterDelivery;
+				this.endAfterDelivery = Optional.empty();
+			}
+		}
+		due.ifPresent(Runnable::run);
+	}
+
 	private void endOrReadOn() {
 		boolean all;
 		synchronized (this) {
@@ -316,6 +334,11 @@
 				return;
 			}
 			this.ended = true;
+			if (this.deliveries > 0) {
+				// A part on its way to the reader counts before the end does.
+				this.endAfterDelivery = Optional.of(() -> this.observer.ended(how, detail));
+				return;
+			}
 		}
 		this.observer.ended(how, detail);
 	}
--- /dev/null
+++ b/mustardlane-router/src/test/java/org/mustardlane/router/target/TargetAttemptTests.java
@@ -0,0 +1,66 @@
+package org.mustardlane.router.target;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.buffer.Unpooled;
+import org.asynchttpclient.netty.EagerResponseBodyPart;
+import org.testng.annotations.Test;
+
+import org.mustardlane.core.event.StartAttempt;
+import org.mustardlane.core.model.catalogue.ServiceClass;
+import org.mustardlane.core.model.catalogue.Target;
+import org.mustardlane.core.model.catalogue.TargetKind;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.RequestId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.model.execution.AttemptEnd;
+import org.mustardlane.core.model.execution.AttemptKind;
+import org.mustardlane.router.answer.AnswerHead;
+
+import static org.testng.Assert.assertEquals;
+
+/**
+ * Tests of {@link TargetAttempt}.
+ */
+public class TargetAttemptTests {
+
+	@Test
+	public void endWaitsForThePartThatIsBeingHandedOver() {
+		List<String> seen = new ArrayList<>();
+		AtomicReference<TargetAttempt> attempt = new AtomicReference<>();
+		attempt.set(new TargetAttempt(request(), new AttemptObserver() {
+			@Override
+			public void headReceived(AnswerHead answerHead, Optional<String> generation) {
+				seen.add("head");
+			}
+
+			@Override
+			public void partReceived(byte[] part, long totalBytes, Runnable ready) {
+				attempt.get().onThrowable(new IOException("the connection breaks meanwhile"));
+				seen.add("part");
+			}
+
+			@Override
+			public void ended(AttemptEnd how, String detail) {
+				seen.add("end");
+			}
+		}, () -> 0));
+		attempt.get().forward();
+		attempt.get().onBodyPartReceived(new EagerResponseBodyPart(Unpooled.wrappedBuffer(new byte[] { 1 }), false));
+		assertEquals(seen, List.of("part", "end"));
+	}
+
+	private static AttemptRequest request() {
+		Target target = new Target(new TargetId("t"), new PoolId("p"), TargetKind.ENGINE, new DomainId("d"),
+				"127.0.0.1", 1, 1, false);
+		StartAttempt start = new StartAttempt(new RequestId("r-1"), 1, target, AttemptKind.FRESH, "", 0, "/run",
+				ServiceClass.URGENT, 2000, 2000, 0);
+		return new AttemptRequest(start, "text/plain", new byte[0], Optional.empty(), Optional.empty());
+	}
+
+}
