--- a/mustardlane-proof/src/test/resources/features/path.feature
+++ b/mustardlane-proof/src/test/resources/features/path.feature
@@ -31,7 +31,7 @@
     Then expect caller A refused with code KEY_REQUIRED
     And expect caller B refused with code UNKNOWN_ENTRY
 
-  @path @red
+  @path
   Scenario: Fifteen routers serve a request each
     Given a fleet of 15 routers
     When 60 callers chat send chat to all routers for 20 tokens
--- a/mustardlane-proof/src/test/resources/features/serving.feature
+++ b/mustardlane-proof/src/test/resources/features/serving.feature
@@ -56,7 +56,7 @@
     Then expect callers before answered
     And expect callers later answered or not run
 
-  @stop @red
+  @stop
   Scenario: Five of eight routers stop together under load
     Given a fleet of 8 routers
     When 64 callers before send chat to all routers for 200 tokens
@@ -91,7 +91,7 @@
     And expect callers two answered
     And expect callers three answered
 
-  @slow @red
+  @slow
   Scenario: A target can not be reached
     Given a fleet of 3 routers
     And the link to engine-1 is SILENT
--- a/mustardlane-proof/src/test/resources/features/whole.feature
+++ b/mustardlane-proof/src/test/resources/features/whole.feature
@@ -24,7 +24,7 @@
     When 16 callers chat send chat to all routers for 40 tokens
     Then expect callers chat answered
 
-  @whole @red
+  @whole
   Scenario: An engine ends its answers too early while their end looks regular
     Given a fleet of 3 routers
     And target "engine-1" has the faults {"shortAnswer":true}
@@ -45,14 +45,14 @@
     When 32 callers chat send chat to all routers for 40 tokens
     Then expect callers chat answered
 
-  @whole @red
+  @whole
   Scenario: An engine stops after the first token
     Given a fleet of 3 routers
     And target "engine-3" has the faults {"stallAfterFirstToken":true}
     When 32 callers chat send chat to all routers for 40 tokens
     Then expect callers chat answered
 
-  @whole @red
+  @whole
   Scenario: A service ends its answers too early
     Given a fleet of 3 routers
     And all services have the faults {"shortAnswer":true,"times":1}
