--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/LeastLoadedPolicy.java
@@ -0,0 +1,57 @@
+package org.mustardlane.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+import org.mustardlane.core.directory.TargetEntry;
+
+/**
+ * Takes the target with the least load a slot; the own failure domain breaks near ties.
+ *
+ * <p>
+ * A random part keeps routers with the same view from choosing the same target.
+ */
+public final class LeastLoadedPolicy implements PlacementPolicy {
+
+	/**
+	 * How much of one slot another failure domain has to be emptier by.
+	 */
+	private static final double FAR_PENALTY = 0.75;
+
+	private static final double RANDOM_PART = 0.5;
+
+	private static final double USUAL_SLOWNESS_PERCENT = 100;
+
+	private final DoubleSupplier random;
+
+	/**
+	 * Creates the policy.
+	 * @param random draws from 0 to below 1
+	 */
+	public LeastLoadedPolicy(DoubleSupplier random) {
+		this.random = random;
+	}
+
+	@Override
+	public Optional<TargetEntry> choose(PlacementRequest request, LoadTable loads) {
+		List<TargetEntry> usable = Candidates.usable(request.candidates(), loads, request.nowMillis());
+		TargetEntry best = null;
+		double bestScore = Double.POSITIVE_INFINITY;
+		for (TargetEntry target : usable) {
+			double score = score(target, request, loads.of(target.id()));
+			if (score < bestScore) {
+				best = target;
+				bestScore = score;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	private double score(TargetEntry target, PlacementRequest request, TargetLoad load) {
+		double far = target.domain().equals(request.domain()) ? 0 : FAR_PENALTY;
+		double expected = load.estimate(request.nowMillis()) + 1 + far + RANDOM_PART * this.random.getAsDouble();
+		return expected * load.sample().slownessPercent() / USUAL_SLOWNESS_PERCENT / Math.max(1, target.slots());
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixPolicy.java
@@ -0,0 +1,59 @@
+package org.mustardlane.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.Rendezvous;
+
+/**
+ * Takes the first target in the rendezvous order of the shared prefix whose load is below
+ * a bound.
+ *
+ * <p>
+ * The order follows from names alone, so all routers agree on the home of a prefix, and a
+ * hot prefix overflows to the same next targets everywhere. Requests without a shared
+ * prefix go to the least loaded target.
+ */
+public final class PrefixPolicy implements PlacementPolicy {
+
+	/**
+	 * Load above the mean that a home may have, as a factor.
+	 */
+	private static final double LOAD_FACTOR = 1.3;
+
+	/**
+	 * Load above the mean that a home may have in any case, in requests.
+	 */
+	private static final double LOAD_SLACK = 2;
+
+	private final PlacementPolicy withoutPrefix;
+
+	/**
+	 * Creates the policy.
+	 * @param withoutPrefix places requests that share no prefix, and those for which all
+	 * targets are above the bound
+	 */
+	public PrefixPolicy(PlacementPolicy withoutPrefix) {
+		this.withoutPrefix = withoutPrefix;
+	}
+
+	@Override
+	public Optional<TargetEntry> choose(PlacementRequest request, LoadTable loads) {
+		if (request.prefixHash().isEmpty()) {
+			return this.withoutPrefix.choose(request, loads);
+		}
+		long now = request.nowMillis();
+		List<TargetEntry> usable = Candidates.usable(request.candidates(), loads, now);
+		double mean = usable.stream().mapToInt((target) -> loads.of(target.id()).estimate(now)).average().orElse(0);
+		double bound = mean * LOAD_FACTOR + LOAD_SLACK;
+		long prefix = request.prefixHash().getAsLong();
+		return usable.stream()
+			.filter((target) -> loads.of(target.id()).estimate(now) < bound)
+			.max(Comparator.comparing((target) -> Rendezvous.score(prefix, Rendezvous.hash(target.id().value())),
+					Long::compareUnsigned))
+			.or(() -> this.withoutPrefix.choose(request, loads));
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/route/RouteTable.java
@@ -0,0 +1,140 @@
+package org.mustardlane.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mustardlane.core.model.common.PoolId;
+
+/**
+ * One version of all routes, pools and organisations.
+ *
+ * <p>
+ * Immutable. A request keeps the table that it was first looked up in.
+ */
+public final class RouteTable {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost;
+
+	private final Map<PoolId, PoolSpec> pools;
+
+	private final Map<String, Organisation> organisationsByKey;
+
+	private final boolean keysRequired;
+
+	private final RequestLimits limits;
+
+	/**
+	 * Creates a table.
+	 * @param version number of the version
+	 * @param routes the routes
+	 * @param pools the pools
+	 * @param organisationsByKey who holds each key
+	 * @param keysRequired whether requests on routes that are not open need a key
+	 * @param limits what callers may send
+	 */
+	public RouteTable(long version, List<Route> routes, List<PoolSpec> pools,
+			Map<String, Organisation> organisationsByKey, boolean keysRequired, RequestLimits limits) {
+		this.version = version;
+		this.routesByHost = byHost(routes);
+		this.pools = new HashMap<>();
+		pools.forEach((pool) -> this.pools.put(pool.id(), pool));
+		this.organisationsByKey = Map.copyOf(organisationsByKey);
+		this.keysRequired = keysRequired;
+		this.limits = limits;
+	}
+
+	private static Map<String, List<Route>> byHost(List<Route> routes) {
+		Map<String, List<Route>> grouped = new HashMap<>();
+		for (Route route : routes) {
+			grouped.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+		}
+		Comparator<Route> longestFirst = Comparator.comparingInt((route) -> -route.pathPrefix().length());
+		grouped.values().forEach((list) -> list.sort(longestFirst));
+		return grouped;
+	}
+
+	/**
+	 * Finds the route with the longest prefix that begins a path.
+	 * @param host host as the caller sent it, with or without a port
+	 * @param path path as the caller sent it, without its query
+	 * @return the route, or empty where none fits
+	 */
+	public Optional<Route> find(String host, String path) {
+		for (Route route : this.routesByHost.getOrDefault(canonicalHost(host), List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Brings a host into the form that routes use.
+	 * @param host host as the caller sent it
+	 * @return the host in lower case and without its port
+	 */
+	public static String canonicalHost(String host) {
+		int colon = host.lastIndexOf(':');
+		String name = (colon >= 0 && host.indexOf(']', colon) < 0) ? host.substring(0, colon) : host;
+		return name.toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Finds the organisation that holds a key.
+	 * @param key the key
+	 * @return the organisation, or empty where no one holds it
+	 */
+	public Optional<Organisation> organisationOf(String key) {
+		return Optional.ofNullable(this.organisationsByKey.get(key));
+	}
+
+	/**
+	 * Tells whether a request on a route needs a key.
+	 * @param route the route
+	 * @return true if it does
+	 */
+	public boolean needsKey(Route route) {
+		return this.keysRequired && !route.open();
+	}
+
+	/**
+	 * Finds a pool.
+	 * @param id name of the pool
+	 * @return the pool, or empty where this version has none of that name
+	 */
+	public Optional<PoolSpec> pool(PoolId id) {
+		return Optional.ofNullable(this.pools.get(id));
+	}
+
+	/**
+	 * Returns the number of the version.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns what callers may send.
+	 * @return the limits
+	 */
+	public RequestLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Counts the routes.
+	 * @return the number
+	 */
+	public int routeCount() {
+		return this.routesByHost.values().stream().mapToInt(List::size).sum();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -0,0 +1,186 @@
+package org.mustardlane.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.mustardlane.core.route.RequestLimits;
+import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.gateway.exchange.CallRouter;
+import org.mustardlane.gateway.exchange.ExchangeServices;
+import org.mustardlane.gateway.front.FrontServer;
+import org.mustardlane.gateway.front.FrontSettings;
+import org.mustardlane.gateway.knowledge.FollowPace;
+import org.mustardlane.gateway.knowledge.Knowledge;
+import org.mustardlane.gateway.knowledge.RecordLog;
+import org.mustardlane.gateway.knowledge.RoutesListener;
+import org.mustardlane.gateway.knowledge.SteadyClock;
+import org.mustardlane.gateway.knowledge.TargetsListener;
+import org.mustardlane.gateway.knowledge.Topic;
+import org.mustardlane.gateway.knowledge.TopicFollower;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.GatewayMetrics;
+import org.mustardlane.gateway.report.LogEvent;
+import org.mustardlane.gateway.report.RateLimit;
+import org.mustardlane.gateway.target.TargetClient;
+import org.mustardlane.router.metrics.HealthServer;
+
+/**
+ * One router that serves callers over a platform's adapter.
+ *
+ * <p>
+ * All state is confined to one event loop; the public methods may be called from any
+ * thread.
+ */
+public final class Gateway implements AutoCloseable {
+
+	private static final int LINES_PER_SECOND = 50;
+
+	private static final int BODIES_PART_OF_MEMORY = 8;
+
+	private static final int REVIEW_MILLIS = 500;
+
+	/**
+	 * Clients with open connections find another router within this time; the balancer
+	 * stops to send new ones after two missed checks.
+	 */
+	private static final int LEAST_DRAIN_MILLIS = 3000;
+
+	private static final int DRAIN_POLL_MILLIS = 50;
+
+	/**
+	 * Limits that hold until routes with their own limits are known.
+	 */
+	private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 4_194_304, 3000, 15_000);
+
+	private final GatewaySettings settings;
+
+	private final SteadyClock clock = SteadyClock.SYSTEM;
+
+	private final EventLoopGroup loops = ioThread();
+
+	private final EventLoop loop = this.loops.next();
+
+	private final DecisionLog log = new DecisionLog(new RateLimit(LINES_PER_SECOND, this.clock::nowMillis));
+
+	private final GatewayMetrics metrics = new GatewayMetrics();
+
+	private final Knowledge knowledge;
+
+	private final CallRouter calls;
+
+	private final FrontServer front;
+
+	private final TopicFollower routesFollower;
+
+	private final TopicFollower targetsFollower;
+
+	private final CountDownLatch drained = new CountDownLatch(1);
+
+	private volatile boolean draining;
+
+	private long drainStartedAtMillis;
+
+	/**
+	 * Creates a gateway that does not listen yet.
+	 * @param settings the settings
+	 * @param adapter the platform
+	 */
+	public Gateway(GatewaySettings settings, GatewayAdapter adapter) {
+		this.settings = settings;
+		this.knowledge = new Knowledge(adapter.decoder(), this.log, this.clock);
+		TargetClient client = new TargetClient(this.loop, adapter.dialect(), this.clock);
+		ExchangeServices services = new ExchangeServices(this.loop, this.knowledge, adapter.dialect(), client,
+				this.clock, this.log, this.metrics, settings.retryLimits(), () -> 1, settings.domain(),
+				() -> ThreadLocalRandom.current().nextDouble());
+		this.calls = new CallRouter(services);
+		this.front = new FrontServer(this.loop, adapter.dialect(), this.calls, this::limits,
+				new FrontSettings(FIRST_LIMITS.headerBytes(), settings.memoryBytes() / BODIES_PART_OF_MEMORY),
+				() -> this.draining, this.clock, this.log);
+		RecordLog records = adapter.openLog(this.loops);
+		this.routesFollower = new TopicFollower(records, Topic.ROUTES, FollowPace.PROMPT,
+				new RoutesListener(this.knowledge, this.log), this.loop);
+		this.targetsFollower = new TopicFollower(records, Topic.TARGETS, FollowPace.STEADY,
+				new TargetsListener(this.knowledge, this.clock, this.log), this.loop);
+	}
+
+	// AsyncHttpClient accepts no newer kind of group.
+	@SuppressWarnings("deprecation")
+	private static EventLoopGroup ioThread() {
+		return new NioEventLoopGroup(1, new DefaultThreadFactory("io", true));
+	}
+
+	private RequestLimits limits() {
+		return this.knowledge.routes().map(RouteTable::limits).orElse(FIRST_LIMITS);
+	}
+
+	/**
+	 * Starts to listen and to read the platform's log.
+	 * @throws IOException if an address can not be used
+	 */
+	public void start() throws IOException {
+		this.loop.execute(this.routesFollower::start);
+		this.loop.execute(this.targetsFollower::start);
+		this.loop.scheduleAtFixedRate(this.knowledge::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
+		HealthServer.start(this.settings.healthAddress(), this.loops, this.settings.readyPath(), this.metrics::scrape,
+				this::isReady);
+		this.front.start(this.settings.callerAddress());
+		this.metrics.gaugeOpenCalls(this.calls::openCalls);
+		this.metrics.gaugeRoutesVersion(this.knowledge::routesVersion);
+		this.metrics.gaugeReadyTargets(() -> this.knowledge.targets().readyCount());
+		this.loop.execute(() -> this.log.write(LogEvent.STARTED, "vm", this.settings.vm(), "domain",
+				this.settings.domain(), "callers", this.settings.callerAddress()));
+	}
+
+	private boolean isReady() {
+		return !this.draining && this.knowledge.isComplete();
+	}
+
+	/**
+	 * Starts to drain: tells the balancer, finishes what is in progress and goes on
+	 * serving what still arrives until the connections are idle or the time is up.
+	 */
+	public void drain() {
+		this.loop.execute(() -> {
+			if (this.draining) {
+				return;
+			}
+			this.draining = true;
+			this.drainStartedAtMillis = this.clock.nowMillis();
+			this.log.write(LogEvent.DRAINING, "openCalls", this.calls.openCalls());
+			endWhenIdle();
+		});
+	}
+
+	private void endWhenIdle() {
+		long elapsed = this.clock.nowMillis() - this.drainStartedAtMillis;
+		boolean idle = this.calls.openCalls() == 0 && this.front.busyConnections() == 0;
+		if ((idle && elapsed >= LEAST_DRAIN_MILLIS) || elapsed >= this.settings.drainMillis()) {
+			this.log.write(LogEvent.STOPPED, "openCalls", this.calls.openCalls(), "drainMillis", elapsed);
+			this.front.stopListening();
+			this.drained.countDown();
+			return;
+		}
+		this.loop.schedule(this::endWhenIdle, DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Waits for the end of a planned stop.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitDrained() throws InterruptedException {
+		this.drained.await();
+	}
+
+	@Override
+	public void close() {
+		this.loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -0,0 +1,95 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import org.mustardlane.core.route.Organisation;
+import org.mustardlane.core.route.Route;
+import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.gateway.front.Call;
+import org.mustardlane.gateway.front.CallHandler;
+import org.mustardlane.gateway.front.CallerChannel;
+import org.mustardlane.gateway.front.OpenCall;
+import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.front.RejectionAnswer;
+import org.mustardlane.gateway.wire.CallHead;
+
+/**
+ * Finds the route of each call and begins its exchange.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+public final class CallRouter implements CallHandler {
+
+	/**
+	 * A router that has just started reads routes and targets within this time.
+	 */
+	private static final long STARTING_RETRY_MILLIS = 500;
+
+	private final ExchangeServices services;
+
+	private int openCalls;
+
+	/**
+	 * Creates a router of calls.
+	 * @param services what all calls share
+	 */
+	public CallRouter(ExchangeServices services) {
+		this.services = services;
+	}
+
+	@Override
+	public Optional<Rejection> check(CallHead head) {
+		Optional<RouteTable> table = this.services.knowledge().routes();
+		if (table.isEmpty() || !this.services.knowledge().isComplete()) {
+			return Optional.of(Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+					"The router does not know the routes yet", STARTING_RETRY_MILLIS));
+		}
+		return table.flatMap((known) -> rejectionIn(known, head));
+	}
+
+	private static Optional<Rejection> rejectionIn(RouteTable table, CallHead head) {
+		Optional<Route> route = table.find(head.host(), head.path());
+		if (route.isEmpty()) {
+			return Optional.of(Rejection.lasting(HttpResponseStatus.NOT_FOUND.code(), "No route"));
+		}
+		if (table.needsKey(route.get()) && organisation(table, head).isEmpty()) {
+			return Optional.of(Rejection.lasting(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<Organisation> organisation(RouteTable table, CallHead head) {
+		return head.key().flatMap(table::organisationOf);
+	}
+
+	@Override
+	public OpenCall open(Call call, CallerChannel caller) {
+		// The routes may have changed since the head arrived.
+		Optional<Rejection> rejection = check(call.head());
+		if (rejection.isPresent()) {
+			caller.answer(rejection.get().status(), RejectionAnswer.headers(rejection.get()),
+					RejectionAnswer.body(rejection.get()));
+			return NoCall.INSTANCE;
+		}
+		RouteTable table = this.services.knowledge().routes().orElseThrow();
+		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
+		RoutedCall routed = new RoutedCall(call, route, route.pickPool(this.services.draw()),
+				organisation(table, call.head()), table.version());
+		this.openCalls++;
+		Exchange exchange = new Exchange(this.services, routed, caller, () -> this.openCalls--);
+		exchange.start();
+		return exchange;
+	}
+
+	/**
+	 * Counts the calls in progress.
+	 * @return the number
+	 */
+	public int openCalls() {
+		return this.openCalls;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventBuffer.java
@@ -0,0 +1,119 @@
+package org.mustardlane.gateway.exchange;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * Cuts the body of an event stream into whole events.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class EventBuffer {
+
+	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+	private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+
+	private Optional<String> lastEventId = Optional.empty();
+
+	/**
+	 * Takes bytes and gives out the events that are whole.
+	 * @param part the bytes, not kept
+	 * @return the whole events, or empty where there is none; to be released
+	 */
+	Optional<ByteBuf> append(ByteBuf part) {
+		ByteBuf all = join(part);
+		int end = endOfWholeEvents(all);
+		if (end == 0) {
+			this.pending = all;
+			return Optional.empty();
+		}
+		ByteBuf whole = all.readRetainedSlice(end);
+		readIds(whole);
+		this.pending = all.isReadable() ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
+		all.release();
+		return Optional.of(whole);
+	}
+
+	private ByteBuf join(ByteBuf part) {
+		if (!this.pending.isReadable()) {
+			return Unpooled.copiedBuffer(part);
+		}
+		ByteBuf all = Unpooled.copiedBuffer(this.pending, part);
+		this.pending.release();
+		return all;
+	}
+
+	// A blank line ends an event.
+	private static int endOfWholeEvents(ByteBuf bytes) {
+		int end = 0;
+		boolean lineEmpty = true;
+		for (int index = 0; index < bytes.readableBytes(); index++) {
+			byte value = bytes.getByte(bytes.readerIndex() + index);
+			if (value == '\n') {
+				if (lineEmpty) {
+					end = index + 1;
+				}
+				lineEmpty = true;
+			}
+			else if (value != '\r') {
+				lineEmpty = false;
+			}
+		}
+		return end;
+	}
+
+	private void readIds(ByteBuf events) {
+		int lineStart = 0;
+		int length = events.readableBytes();
+		for (int index = 0; index < length; index++) {
+			if (events.getByte(events.readerIndex() + index) == '\n') {
+				readLine(events, lineStart, index);
+				lineStart = index + 1;
+			}
+		}
+	}
+
+	private void readLine(ByteBuf events, int start, int end) {
+		if (end - start < ID_FIELD.length) {
+			return;
+		}
+		for (int index = 0; index < ID_FIELD.length; index++) {
+			if (events.getByte(events.readerIndex() + start + index) != ID_FIELD[index]) {
+				return;
+			}
+		}
+		String value = events.toString(events.readerIndex() + start + ID_FIELD.length, end - start - ID_FIELD.length,
+				StandardCharsets.UTF_8);
+		this.lastEventId = Optional.of(value.strip());
+	}
+
+	/**
+	 * Returns the id of the newest whole event.
+	 * @return the id, or empty where none had one
+	 */
+	Optional<String> lastEventId() {
+		return this.lastEventId;
+	}
+
+	/**
+	 * Tells whether a part of an event is left.
+	 * @return true if the last event is not whole
+	 */
+	boolean hasPartialEvent() {
+		return this.pending.isReadable();
+	}
+
+	/**
+	 * Drops a part of an event.
+	 */
+	void dropPartialEvent() {
+		this.pending.release();
+		this.pending = Unpooled.EMPTY_BUFFER;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -0,0 +1,276 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.placement.PlacementRequest;
+import org.mustardlane.core.retry.AttemptResult;
+import org.mustardlane.core.retry.CallState;
+import org.mustardlane.core.retry.NextStep;
+import org.mustardlane.core.retry.RetryRules;
+import org.mustardlane.core.route.Organisation;
+import org.mustardlane.core.route.Route;
+import org.mustardlane.gateway.front.CallerChannel;
+import org.mustardlane.gateway.front.OpenCall;
+import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.front.RejectionAnswer;
+import org.mustardlane.gateway.report.CallOutcome;
+import org.mustardlane.gateway.report.LogEvent;
+import org.mustardlane.gateway.wire.AnswerHead;
+import org.mustardlane.gateway.wire.Dispatch;
+
+/**
+ * One call from its arrival to its outcome.
+ *
+ * <p>
+ * Whether a refusal may say that the call has not run follows from one number, the
+ * attempts that may have run. Confined to the event loop of the daemon.
+ */
+final class Exchange implements OpenCall {
+
+	private final ExchangeServices services;
+
+	private final RoutedCall routed;
+
+	private final CallerChannel caller;
+
+	private final Runnable onEnd;
+
+	private final AnswerSink sink;
+
+	private final Set<TargetId> tried = new HashSet<>();
+
+	private Optional<Attempt> current = Optional.empty();
+
+	private Optional<Future<?>> deadline = Optional.empty();
+
+	private int runs;
+
+	private int sends;
+
+	private boolean ended;
+
+	Exchange(ExchangeServices services, RoutedCall routed, CallerChannel caller, Runnable onEnd) {
+		this.services = services;
+		this.routed = routed;
+		this.caller = caller;
+		this.onEnd = onEnd;
+		this.sink = new AnswerSink(caller);
+	}
+
+	/**
+	 * Sends the call to a first target.
+	 */
+	void start() {
+		long left = timeLeftMillis();
+		if (left <= 0) {
+			refuse("No time is left", CallOutcome.EXPIRED);
+			return;
+		}
+		this.deadline = Optional.of(this.services.loop().schedule(this::timeIsUp, left, TimeUnit.MILLISECONDS));
+		this.services.firstSend(this.routed.pool());
+		dispatch();
+	}
+
+	private long timeLeftMillis() {
+		return this.routed.deadlineMillis() - this.services.nowMillis();
+	}
+
+	private void dispatch() {
+		Optional<TargetEntry> target = choose();
+		if (target.isEmpty()) {
+			giveUp("No target takes the call");
+			return;
+		}
+		send(target.get());
+	}
+
+	private Optional<TargetEntry> choose() {
+		List<TargetEntry> candidates = this.services.knowledge()
+			.targets()
+			.ready(this.routed.pool())
+			.stream()
+			.filter((target) -> !this.tried.contains(target.id()))
+			.toList();
+		return this.services.placement()
+			.choose(new PlacementRequest(candidates, this.routed.call().head().prefixHash(), this.services.domain(),
+					this.services.nowMillis()), this.services.loads());
+	}
+
+	private void send(TargetEntry target) {
+		this.sends++;
+		this.tried.add(target.id());
+		HttpRequest head = this.services.dialect()
+			.writeDispatch(this.routed.call().request(), new Dispatch(target.id(), Math.max(1, timeLeftMillis()),
+					this.routed.organisation().map(Organisation::id), this.sink.lastEventId()));
+		Attempt attempt = new Attempt(this.services, this, target);
+		this.current = Optional.of(attempt);
+		attempt.send(this.requestId(), head, this.routed.call().body());
+	}
+
+	String requestId() {
+		return this.routed.call().head().requestId();
+	}
+
+	Route route() {
+		return this.routed.route();
+	}
+
+	/**
+	 * Takes the head of an answer that is to be passed on.
+	 * @param head the head
+	 */
+	void answerBegins(AnswerHead head) {
+		this.runs++;
+		this.sink.head(head);
+	}
+
+	AnswerSink sink() {
+		return this.sink;
+	}
+
+	/**
+	 * Takes the end of an answer that was passed on whole.
+	 * @param status its status
+	 */
+	void answered(int status) {
+		end(CallOutcome.ANSWERED, status, "");
+	}
+
+	/**
+	 * Decides what follows an attempt without a usable answer.
+	 * @param result how it ended
+	 * @param counted whether it was counted as one that may have run
+	 * @param detail what was seen
+	 * @return whether the failure that the target answered is to be passed on
+	 */
+	boolean attemptFailed(AttemptResult result, boolean counted, String detail) {
+		boolean mayHaveRun = result == AttemptResult.BROKEN || result == AttemptResult.FAILURE_ANSWERED;
+		if (mayHaveRun && !counted) {
+			this.runs++;
+		}
+		NextStep step = RetryRules.after(state(), result);
+		if (step == NextStep.RETRY_WITHIN_BUDGET && !this.services.tryRepeat(this.routed.pool())) {
+			step = (result == AttemptResult.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
+		}
+		logAttempt(result, step, detail);
+		if (step == NextStep.RELAY) {
+			return true;
+		}
+		this.current = Optional.empty();
+		if (step == NextStep.GIVE_UP) {
+			giveUp(detail);
+		}
+		else {
+			this.sink.dropPartial();
+			dispatch();
+		}
+		return false;
+	}
+
+	private void logAttempt(AttemptResult result, NextStep step, String detail) {
+		this.services.log()
+			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routed.pool(), "target",
+					this.current.map(Attempt::targetName).orElse(""), "result", result, "next", step, "runs", this.runs,
+					"sends", this.sends, "detail", detail);
+	}
+
+	/**
+	 * Asks whether the present attempt may be replaced by another one at another target.
+	 * @return whether it may; if so, the repeat is taken from the budget
+	 */
+	boolean mayReplaceAttempt() {
+		boolean others = this.services.knowledge()
+			.targets()
+			.ready(this.routed.pool())
+			.stream()
+			.anyMatch((target) -> !this.tried.contains(target.id()));
+		CallState ran = new CallState(route().semantics(), this.runs + 1, route().maxAttempts(), this.sends);
+		return others && RetryRules.mayRunAgain(ran);
+	}
+
+	private CallState state() {
+		return new CallState(route().semantics(), this.runs, route().maxAttempts(), this.sends);
+	}
+
+	private void giveUp(String detail) {
+		if (this.sink.isBegun()) {
+			end(CallOutcome.BROKEN_OFF, 0, detail);
+			this.caller.abort();
+		}
+		else if (this.runs > 0) {
+			fail(HttpResponseStatus.BAD_GATEWAY, detail);
+		}
+		else {
+			refuse(detail, CallOutcome.REFUSED);
+		}
+	}
+
+	private void refuse(String detail, CallOutcome outcome) {
+		Rejection rejection = Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), detail,
+				RetryTimes.afterRefusal(this.services.draw()));
+		end(outcome, rejection.status(), detail);
+		this.caller.answer(rejection.status(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+	}
+
+	private void fail(HttpResponseStatus status, String detail) {
+		Rejection rejection = Rejection.lasting(status.code(), detail);
+		end(CallOutcome.FAILED, status.code(), detail);
+		this.caller.answer(status.code(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+	}
+
+	private void timeIsUp() {
+		if (this.ended) {
+			return;
+		}
+		boolean running = this.current.filter(Attempt::isSent).isPresent();
+		this.current.ifPresent(Attempt::cancel);
+		this.current = Optional.empty();
+		if (this.sink.isBegun()) {
+			giveUp("The time is up");
+		}
+		else if (running || this.runs > 0) {
+			fail(HttpResponseStatus.GATEWAY_TIMEOUT, "The time is up");
+		}
+		else {
+			refuse("The time is up", CallOutcome.EXPIRED);
+		}
+	}
+
+	@Override
+	public void callerGone() {
+		if (this.ended) {
+			return;
+		}
+		this.current.ifPresent(Attempt::cancel);
+		end(CallOutcome.CALLER_GONE, 0, "");
+	}
+
+	@Override
+	public void writabilityChanged(boolean writable) {
+		this.current.ifPresent((attempt) -> attempt.setReading(writable));
+	}
+
+	private void end(CallOutcome outcome, int status, String detail) {
+		this.ended = true;
+		this.deadline.ifPresent((timer) -> timer.cancel(false));
+		long elapsed = this.services.nowMillis() - this.routed.call().arrivedAtMillis();
+		this.services.metrics().callEnded(outcome, this.routed.pool(), elapsed);
+		this.services.log()
+			.write(LogEvent.CALL_ENDED, "requestId", requestId(), "route", route().name(), "pool", this.routed.pool(),
+					"target", this.current.map(Attempt::targetName).orElse(""), "outcome", outcome, "status", status,
+					"runs", this.runs, "sends", this.sends, "elapsedMillis", elapsed, "routesVersion",
+					this.routed.routesVersion(), "detail", detail);
+		this.onEnd.run();
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeServices.java
@@ -0,0 +1,168 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
+
+import io.netty.channel.EventLoop;
+
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.placement.LeastLoadedPolicy;
+import org.mustardlane.core.placement.LoadTable;
+import org.mustardlane.core.placement.PlacementPolicy;
+import org.mustardlane.core.placement.PrefixPolicy;
+import org.mustardlane.core.retry.RetryBudget;
+import org.mustardlane.gateway.knowledge.Knowledge;
+import org.mustardlane.gateway.knowledge.SteadyClock;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.GatewayMetrics;
+import org.mustardlane.gateway.target.TargetClient;
+import org.mustardlane.gateway.wire.WireDialect;
+
+/**
+ * What all calls share.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+public final class ExchangeServices {
+
+	/**
+	 * Part of the fixed repeats that the routers use, so that an error in their number
+	 * does not pass the bound of the fleet.
+	 */
+	private static final double USED_SHARE = 0.7;
+
+	private final EventLoop loop;
+
+	private final Knowledge knowledge;
+
+	private final WireDialect dialect;
+
+	private final TargetClient client;
+
+	private final SteadyClock clock;
+
+	private final DecisionLog log;
+
+	private final GatewayMetrics metrics;
+
+	private final RetryLimits retryLimits;
+
+	private final IntSupplier liveRouters;
+
+	private final DomainId domain;
+
+	private final DoubleSupplier random;
+
+	private final LoadTable loads = new LoadTable();
+
+	private final PlacementPolicy placement;
+
+	private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
+
+	/**
+	 * Creates the shared parts.
+	 * @param loop event loop of the daemon
+	 * @param knowledge routes and targets
+	 * @param dialect headers of the platform
+	 * @param client sends to targets
+	 * @param clock the time
+	 * @param log is told of decisions
+	 * @param metrics counts outcomes
+	 * @param retryLimits how many repeats a pool bears
+	 * @param liveRouters how many routers share the limits
+	 * @param domain failure domain of this router
+	 * @param random draws from 0 to below 1
+	 */
+	public ExchangeServices(EventLoop loop, Knowledge knowledge, WireDialect dialect, TargetClient client,
+			SteadyClock clock, DecisionLog log, GatewayMetrics metrics, RetryLimits retryLimits,
+			IntSupplier liveRouters, DomainId domain, DoubleSupplier random) {
+		this.loop = loop;
+		this.knowledge = knowledge;
+		this.dialect = dialect;
+		this.client = client;
+		this.clock = clock;
+		this.log = log;
+		this.metrics = metrics;
+		this.retryLimits = retryLimits;
+		this.liveRouters = liveRouters;
+		this.domain = domain;
+		this.random = random;
+		this.placement = new PrefixPolicy(new LeastLoadedPolicy(random));
+	}
+
+	/**
+	 * Notes the first send of a call.
+	 * @param pool where it is sent
+	 */
+	void firstSend(PoolId pool) {
+		budget(pool).firstSend(this.clock.nowMillis());
+	}
+
+	/**
+	 * Asks for a repeated send.
+	 * @param pool where it would be sent
+	 * @return whether it may be sent
+	 */
+	boolean tryRepeat(PoolId pool) {
+		double share = this.retryLimits.fixedRepeats() * USED_SHARE / Math.max(1, this.liveRouters.getAsInt());
+		return budget(pool).tryRepeat(share, this.clock.nowMillis());
+	}
+
+	private RetryBudget budget(PoolId pool) {
+		return this.budgets.computeIfAbsent(pool,
+				(id) -> new RetryBudget(this.retryLimits.ratio() * USED_SHARE, this.retryLimits.windowMillis()));
+	}
+
+	EventLoop loop() {
+		return this.loop;
+	}
+
+	Knowledge knowledge() {
+		return this.knowledge;
+	}
+
+	WireDialect dialect() {
+		return this.dialect;
+	}
+
+	TargetClient client() {
+		return this.client;
+	}
+
+	long nowMillis() {
+		return this.clock.nowMillis();
+	}
+
+	DecisionLog log() {
+		return this.log;
+	}
+
+	GatewayMetrics metrics() {
+		return this.metrics;
+	}
+
+	DomainId domain() {
+		return this.domain;
+	}
+
+	double draw() {
+		return this.random.getAsDouble();
+	}
+
+	/**
+	 * Returns the loads of the targets.
+	 * @return the table, for use on the event loop only
+	 */
+	public LoadTable loads() {
+		return this.loads;
+	}
+
+	PlacementPolicy placement() {
+		return this.placement;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/NoCall.java
@@ -0,0 +1,23 @@
+package org.mustardlane.gateway.exchange;
+
+import org.mustardlane.gateway.front.OpenCall;
+
+/**
+ * Stands for a call that has ended already.
+ */
+enum NoCall implements OpenCall {
+
+	/**
+	 * The only one.
+	 */
+	INSTANCE;
+
+	@Override
+	public void callerGone() {
+	}
+
+	@Override
+	public void writabilityChanged(boolean writable) {
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerChannel.java
@@ -0,0 +1,48 @@
+package org.mustardlane.gateway.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The way back to the caller of one call; used on the event loop of the daemon.
+ */
+public interface CallerChannel {
+
+	/**
+	 * Answers with a whole body.
+	 * @param status status of the response
+	 * @param headers headers besides those of the framing
+	 * @param body the body
+	 */
+	void answer(int status, HttpHeaders headers, byte[] body);
+
+	/**
+	 * Begins an answer whose body follows in parts.
+	 * @param status status of the response
+	 * @param headers headers besides those of the framing
+	 */
+	void begin(int status, HttpHeaders headers);
+
+	/**
+	 * Sends a part of the body.
+	 * @param part the bytes, which are taken over
+	 */
+	void part(ByteBuf part);
+
+	/**
+	 * Ends an answer that was begun.
+	 */
+	void end();
+
+	/**
+	 * Breaks off, so that the caller sees that the answer is not whole.
+	 */
+	void abort();
+
+	/**
+	 * Tells whether the caller takes bytes as fast as they come.
+	 * @return false while too many wait
+	 */
+	boolean isWritable();
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/RejectionAnswer.java
@@ -0,0 +1,42 @@
+package org.mustardlane.gateway.front;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Writes rejections as answers.
+ */
+public final class RejectionAnswer {
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private RejectionAnswer() {
+	}
+
+	/**
+	 * Makes the headers of a rejection.
+	 * @param rejection the rejection
+	 * @return its headers
+	 */
+	public static HttpHeaders headers(Rejection rejection) {
+		HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+		rejection.retryAfterMillis()
+			.ifPresent((millis) -> headers.set(HttpHeaderNames.RETRY_AFTER,
+					String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
+		return headers;
+	}
+
+	/**
+	 * Makes the body of a rejection.
+	 * @param rejection the rejection
+	 * @return its text
+	 */
+	public static byte[] body(Rejection rejection) {
+		return (rejection.reason() + "\n").getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/StrictRequestDecoder.java
@@ -0,0 +1,27 @@
+package org.mustardlane.gateway.front;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests and refuses framing that two readers could understand differently.
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+
+	/**
+	 * Creates a decoder.
+	 * @param headerBytes most bytes of a head
+	 */
+	StrictRequestDecoder(int headerBytes) {
+		super(new HttpDecoderConfig().setMaxInitialLineLength(headerBytes).setMaxHeaderSize(headerBytes));
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		throw new IllegalArgumentException(
+				HttpHeaderNames.CONTENT_LENGTH + " beside " + HttpHeaderNames.TRANSFER_ENCODING);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP towards callers.
+ */
+@NullMarked
+package org.mustardlane.gateway.front;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
@@ -0,0 +1,179 @@
+package org.mustardlane.gateway.knowledge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.mustardlane.core.directory.DirectoryRecord;
+import org.mustardlane.core.directory.TargetDirectory;
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.LogEvent;
+import org.mustardlane.gateway.wire.KnowledgeDecoder;
+import org.mustardlane.gateway.wire.MalformedRecordException;
+
+/**
+ * The routes and targets as this router knows them.
+ *
+ * <p>
+ * Routes never go back to a lower version, whoever tells of them. Confined to the event
+ * loop of the daemon.
+ */
+public final class Knowledge {
+
+	/**
+	 * How long after the return of the log a missing entry proves nothing: targets write
+	 * again within two seconds, and one read passes.
+	 */
+	private static final int REMOVAL_GRACE_MILLIS = 2500;
+
+	private final KnowledgeDecoder decoder;
+
+	private final DecisionLog log;
+
+	private final SteadyClock clock;
+
+	private final TargetDirectory targets = new TargetDirectory(REMOVAL_GRACE_MILLIS);
+
+	private Optional<RouteTable> routes = Optional.empty();
+
+	private Optional<KeyedRecord> routesRecord = Optional.empty();
+
+	private boolean targetsListed;
+
+	/**
+	 * Creates knowledge of nothing.
+	 * @param decoder decodes records
+	 * @param log is told what changes
+	 * @param clock the time
+	 */
+	public Knowledge(KnowledgeDecoder decoder, DecisionLog log, SteadyClock clock) {
+		this.decoder = decoder;
+		this.log = log;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes a record that may hold routes.
+	 * @param update the record
+	 * @param source who told of it
+	 */
+	public void takeRoutes(KeyedRecord update, String source) {
+		if (update.body().isEmpty()) {
+			return;
+		}
+		try {
+			Optional<RouteTable> decoded = this.decoder.routes(update.key(), update.body().get());
+			decoded.ifPresent((table) -> putInForce(table, update, source));
+		}
+		catch (MalformedRecordException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", update.key(), "offset", update.offset(), "reason",
+					ex.getMessage());
+		}
+	}
+
+	private void putInForce(RouteTable table, KeyedRecord update, String source) {
+		long known = routesVersion();
+		if (table.version() <= known) {
+			return;
+		}
+		this.routes = Optional.of(table);
+		this.routesRecord = Optional.of(update);
+		this.log.write(LogEvent.ROUTES_CHANGED, "version", table.version(), "before", known, "routes",
+				table.routeCount(), "source", source);
+	}
+
+	/**
+	 * Takes the newest records of all targets.
+	 * @param newest the records
+	 * @param endOffset end of the topic when they were read
+	 */
+	public void listTargets(List<KeyedRecord> newest, long endOffset) {
+		this.targetsListed = true;
+		this.targets.replace(decodeTargets(newest), endOffset, this.clock.nowMillis());
+	}
+
+	/**
+	 * Takes records of targets in order.
+	 * @param changes the records
+	 */
+	public void takeTargets(List<KeyedRecord> changes) {
+		this.targets.apply(decodeTargets(changes), this.clock.nowMillis());
+	}
+
+	private List<DirectoryRecord> decodeTargets(List<KeyedRecord> rows) {
+		List<DirectoryRecord> decoded = new ArrayList<>();
+		for (KeyedRecord row : rows) {
+			if (!row.key().isEmpty()) {
+				decoded.add(new DirectoryRecord(new TargetId(row.key()), row.offset(), decodeTarget(row)));
+			}
+		}
+		return decoded;
+	}
+
+	private Optional<TargetEntry> decodeTarget(KeyedRecord row) {
+		if (row.body().isEmpty()) {
+			return Optional.empty();
+		}
+		try {
+			return Optional.of(this.decoder.target(row.key(), row.body().get()));
+		}
+		catch (MalformedRecordException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", row.key(), "offset", row.offset(), "reason",
+					ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Removes targets that have been missing for long enough.
+	 */
+	public void review() {
+		for (TargetId gone : this.targets.review(this.clock.nowMillis())) {
+			this.log.write(LogEvent.TARGET_CHANGED, "target", gone, "state", "gone", "reason", "missing");
+		}
+	}
+
+	/**
+	 * Tells whether calls can be routed.
+	 * @return true once routes and targets were read
+	 */
+	public boolean isComplete() {
+		return this.routes.isPresent() && this.targetsListed;
+	}
+
+	/**
+	 * Returns the version of the routes in force.
+	 * @return the version, -1 where none is known
+	 */
+	public long routesVersion() {
+		return this.routes.map(RouteTable::version).orElse(-1L);
+	}
+
+	/**
+	 * Returns the routes in force.
+	 * @return the routes, or empty where none are known
+	 */
+	public Optional<RouteTable> routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Returns the record of the routes in force, to be passed on.
+	 * @return the record, or empty where none is known
+	 */
+	public Optional<KeyedRecord> routesRecord() {
+		return this.routesRecord;
+	}
+
+	/**
+	 * Returns the targets.
+	 * @return the directory, for use on the event loop only
+	 */
+	public TargetDirectory targets() {
+		return this.targets;
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/SteadyClock.java
@@ -0,0 +1,25 @@
+package org.mustardlane.gateway.knowledge;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Time that neither steps nor goes back, for deadlines within the process.
+ *
+ * <p>
+ * Thread-safe.
+ */
+@FunctionalInterface
+public interface SteadyClock {
+
+	/**
+	 * The clock of the virtual machine.
+	 */
+	SteadyClock SYSTEM = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+
+	/**
+	 * Returns the time.
+	 * @return milliseconds since a moment that is fixed within the process
+	 */
+	long nowMillis();
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/AnswerDecoder.java
@@ -0,0 +1,30 @@
+package org.mustardlane.gateway.target;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes the answers on a connection that carries one request.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+
+	private final boolean withoutBody;
+
+	/**
+	 * Creates a decoder.
+	 * @param method method of the request
+	 * @param limits what an answer may hold
+	 */
+	AnswerDecoder(HttpMethod method, HttpDecoderConfig limits) {
+		super(limits);
+		this.withoutBody = HttpMethod.HEAD.equals(method);
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.withoutBody || super.isContentAlwaysEmpty(message);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetCall.java
@@ -0,0 +1,203 @@
+package org.mustardlane.gateway.target;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+import org.mustardlane.gateway.knowledge.SteadyClock;
+import org.mustardlane.gateway.wire.AnswerHead;
+import org.mustardlane.gateway.wire.WireDialect;
+
+/**
+ * One call at one target, from the connection to the end of the answer.
+ *
+ * <p>
+ * Answers that name another call are read and dropped; the call goes on waiting for its
+ * own. Confined to the event loop of the daemon.
+ */
+public final class TargetCall extends ChannelInboundHandlerAdapter {
+
+	private final String requestId;
+
+	private final HttpRequest head;
+
+	private final byte[] body;
+
+	private final CallListener listener;
+
+	private final WireDialect dialect;
+
+	private final SteadyClock clock;
+
+	private ChannelFuture connection;
+
+	private boolean sent;
+
+	private boolean ended;
+
+	private boolean ownAnswer;
+
+	/**
+	 * Creates a call that is not sent yet.
+	 * @param requestId name of the call
+	 * @param head head of the request
+	 * @param body body of the request
+	 * @param listener is told what becomes of it
+	 * @param dialect reads the head of the answer
+	 * @param clock the time
+	 */
+	TargetCall(String requestId, HttpRequest head, byte[] body, CallListener listener, WireDialect dialect,
+			SteadyClock clock) {
+		this.requestId = requestId;
+		this.head = head;
+		this.body = body;
+		this.listener = listener;
+		this.dialect = dialect;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes the connection that is being made.
+	 * @param connecting the connection
+	 */
+	void connecting(ChannelFuture connecting) {
+		this.connection = connecting;
+		connecting.addListener((future) -> {
+			if (!future.isSuccess()) {
+				fail(String.valueOf(future.cause().getMessage()));
+			}
+		});
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		if (this.ended) {
+			ctx.close();
+			return;
+		}
+		this.sent = true;
+		frame();
+		ctx.write(this.head);
+		if (this.body.length > 0) {
+			ctx.write(new DefaultHttpContent(Unpooled.wrappedBuffer(this.body)));
+		}
+		ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+	}
+
+	private void frame() {
+		this.head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		if (this.body.length > 0 || HttpMethod.POST.equals(this.head.method())
+				|| HttpMethod.PUT.equals(this.head.method())) {
+			this.head.headers().set(HttpHeaderNames.CONTENT_LENGTH, this.body.length);
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		try {
+			if (!this.ended && message instanceof HttpObject object) {
+				take(object);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void take(HttpObject object) {
+		if (object.decoderResult().isFailure()) {
+			fail("not HTTP: " + object.decoderResult().cause().getMessage());
+			return;
+		}
+		if (object instanceof HttpResponse response) {
+			takeHead(response);
+		}
+		if (!this.ended && this.ownAnswer && object instanceof HttpContent content) {
+			takeContent(content);
+		}
+	}
+
+	private void takeHead(HttpResponse response) {
+		this.ownAnswer = false;
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			return;
+		}
+		AnswerHead answer = this.dialect.readAnswer(response, this.clock.nowMillis());
+		if (answer.requestId().filter(this.requestId::equals).isEmpty()) {
+			return;
+		}
+		this.ownAnswer = true;
+		this.listener.headReceived(answer);
+	}
+
+	private void takeContent(HttpContent content) {
+		if (content.content().isReadable()) {
+			this.listener.partReceived(content.content());
+		}
+		if (!this.ended && content instanceof LastHttpContent) {
+			this.ended = true;
+			this.connection.channel().close();
+			this.listener.completed();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		fail(String.valueOf(cause.getMessage()));
+		ctx.close();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		fail("the connection ended");
+	}
+
+	private void fail(String detail) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		this.connection.channel().close();
+		this.listener.failed(this.sent ? CallFailure.BROKEN : CallFailure.NOT_SENT, detail);
+	}
+
+	/**
+	 * Gives the call up; the listener is told nothing more.
+	 */
+	public void cancel() {
+		this.ended = true;
+		this.connection.channel().close();
+	}
+
+	/**
+	 * Tells whether a byte may have reached the target.
+	 * @return true once the request was handed to the connection
+	 */
+	public boolean isSent() {
+		return this.sent;
+	}
+
+	/**
+	 * Reads on or holds back, so that an answer fills no more memory than its caller
+	 * takes.
+	 * @param reading whether to read
+	 */
+	public void setReading(boolean reading) {
+		Channel channel = this.connection.channel();
+		channel.config().setAutoRead(reading);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP towards targets.
+ */
+@NullMarked
+package org.mustardlane.gateway.target;
+
+import org.jspecify.annotations.NullMarked;
--- a/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/Router.java
@@ -71,6 +71,8 @@
 
 	private static final int FLUSH_POLL_MILLIS = 10;
 
+	private static final String READY_PATH = "/readyz";
+
 	private final RouterSettings settings;
 
 	private final RouterClock clock = new RouterClock();
@@ -144,8 +146,8 @@
 		registerActions(workers, links, followers, publishes);
 		GrpcServer operators = GrpcServer.start(address(this.settings.ports().operator()), identity(), this.loops,
 				new OperatorService(node, this.clock, this.timeline, publishes, this::drain, version()));
-		HealthServer health = HealthServer.start(address(this.settings.ports().metrics()), this.loops, this.metrics,
-				() -> isReady(node));
+		HealthServer health = HealthServer.start(address(this.settings.ports().metrics()), this.loops, READY_PATH,
+				this.metrics::scrape, () -> isReady(node));
 		CallerServer callers = CallerServer.start(address(this.settings.ports().caller()), this.loops, this.requests,
 				new RequestIds(this.settings.vm(), this.startedAtMillis), callerLimits(), this.clock,
 				() -> this.draining);
--- a/mustardlane-router/src/main/java/org/mustardlane/router/metrics/HealthServer.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/metrics/HealthServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -43,13 +44,14 @@
 	 * Starts to listen.
 	 * @param address where
 	 * @param loops threads of the connections
-	 * @param metrics the metrics
+	 * @param readyPath path under which readiness is asked for
+	 * @param metrics writes the metrics
 	 * @param ready whether callers are to be sent here
 	 * @return the server
 	 * @throws IOException if the address can not be used
 	 */
-	public static HealthServer start(InetSocketAddress address, EventLoopGroup loops, RouterMetrics metrics,
-			BooleanSupplier ready) throws IOException {
+	public static HealthServer start(InetSocketAddress address, EventLoopGroup loops, String readyPath,
+			Supplier<String> metrics, BooleanSupplier ready) throws IOException {
 		ChannelFuture bound = new ServerBootstrap().group(loops)
 			.channel(NioServerSocketChannel.class)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
@@ -58,7 +60,7 @@
 					channel.pipeline()
 						.addLast(new HttpServerCodec())
 						.addLast(new HttpObjectAggregator(MOST_REQUEST_BYTES))
-						.addLast(new Handler(metrics, ready));
+						.addLast(new Handler(readyPath, metrics, ready));
 				}
 			})
 			.bind(address)
@@ -87,11 +89,14 @@
 	 */
 	private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-		private final RouterMetrics metrics;
+		private final String readyPath;
+
+		private final Supplier<String> metrics;
 
 		private final BooleanSupplier ready;
 
-		Handler(RouterMetrics metrics, BooleanSupplier ready) {
+		Handler(String readyPath, Supplier<String> metrics, BooleanSupplier ready) {
+			this.readyPath = readyPath;
 			this.metrics = metrics;
 			this.ready = ready;
 		}
@@ -102,11 +107,13 @@
 		}
 
 		private FullHttpResponse answer(String path) {
+			if (path.equals(this.readyPath)) {
+				return this.ready.getAsBoolean() ? text(HttpResponseStatus.OK, "ready\n")
+						: text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+			}
 			return switch (path) {
-				case "/metrics" -> text(HttpResponseStatus.OK, this.metrics.scrape());
+				case "/metrics" -> text(HttpResponseStatus.OK, this.metrics.get());
 				case "/healthz" -> text(HttpResponseStatus.OK, "alive\n");
-				case "/readyz" -> this.ready.getAsBoolean() ? text(HttpResponseStatus.OK, "ready\n")
-						: text(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
 				default -> text(HttpResponseStatus.NOT_FOUND, "not found\n");
 			};
 		}
