--- a/mustardlane-core/src/main/java/org/mustardlane/core/retry/RetryBudget.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/retry/RetryBudget.java
@@ -13,50 +13,45 @@
  */
 public final class RetryBudget {
 
-	private final double ratio;
-
-	private final int windowMillis;
+	/**
+	 * Part of the limits that is used, so that an error in the number of routers does not
+	 * pass the bound of the fleet.
+	 */
+	private static final double USED_PART = 0.7;
 
 	private final Deque<Long> firstSends = new ArrayDeque<>();
 
 	private final Deque<Long> repeats = new ArrayDeque<>();
 
-	/**
-	 * Creates a budget of which nothing is used.
-	 * @param ratio repeated sends allowed for each first send
-	 * @param windowMillis length of the sliding window
-	 */
-	public RetryBudget(double ratio, int windowMillis) {
-		this.ratio = ratio;
-		this.windowMillis = windowMillis;
-	}
-
 	/**
 	 * Notes the first send of a request.
+	 * @param limits the limits of the fleet
 	 * @param nowMillis the time
 	 */
-	public void firstSend(long nowMillis) {
+	public void firstSend(RetryLimits limits, long nowMillis) {
 		this.firstSends.add(nowMillis);
-		forget(nowMillis);
+		forget(nowMillis - limits.windowMillis());
 	}
 
 	/**
 	 * Takes one repeated send if the budget allows it.
-	 * @param fixedShare this router's share of the fixed number, in repeats a window
+	 * @param limits the limits of the fleet
+	 * @param routers how many routers share the fixed number
 	 * @param nowMillis the time
 	 * @return whether the repeat may be sent
 	 */
-	public boolean tryRepeat(double fixedShare, long nowMillis) {
-		forget(nowMillis);
-		if (this.repeats.size() + 1 > this.firstSends.size() * this.ratio + fixedShare) {
+	public boolean tryRepeat(RetryLimits limits, int routers, long nowMillis) {
+		forget(nowMillis - limits.windowMillis());
+		double allowed = this.firstSends.size() * limits.ratio()
+				+ (double) limits.fixedRepeats() / Math.max(1, routers);
+		if (this.repeats.size() + 1 > USED_PART * allowed) {
 			return false;
 		}
 		this.repeats.add(nowMillis);
 		return true;
 	}
 
-	private void forget(long nowMillis) {
-		long oldestMillis = nowMillis - this.windowMillis;
+	private void forget(long oldestMillis) {
 		while (!this.firstSends.isEmpty() && this.firstSends.peekFirst() < oldestMillis) {
 			this.firstSends.removeFirst();
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RetryLimits.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/retry/RetryLimits.java
@@ -1,4 +1,4 @@
-package org.mustardlane.gateway.exchange;
+package org.mustardlane.core.retry;
 
 /**
  * How many repeated sends the routers together may make to a pool.
--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/TargetLoadTests.java
@@ -0,0 +1,52 @@
+package org.mustardlane.core.placement;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of the estimate of a target's load.
+ */
+public class TargetLoadTests {
+
+	private final TargetLoad load = new TargetLoad();
+
+	@Test
+	public void estimateAddsWhatWasSentSinceTheStatedLoad() {
+		TargetLoad fresh = new TargetLoad();
+		fresh.stated(new LoadSample(5, 1, 8, 100, 1000));
+		fresh.started();
+		assertEquals(fresh.estimate(1500), 7);
+		fresh.ended();
+		assertEquals(fresh.estimate(1500), 6);
+	}
+
+	@Test
+	public void olderStatedLoadIsLeftOut() {
+		TargetLoad fresh = new TargetLoad();
+		fresh.stated(new LoadSample(5, 0, 8, 100, 1000));
+		fresh.stated(new LoadSample(0, 0, 8, 100, 900));
+		assertEquals(fresh.estimate(1000), 5);
+	}
+
+	@Test
+	public void statedLoadIsForgotten() {
+		TargetLoad fresh = new TargetLoad();
+		fresh.stated(new LoadSample(5, 0, 8, 100, 1000));
+		assertEquals(fresh.estimate(10_000), 0);
+	}
+
+	@Test
+	public void pausesGrowWithFailuresInARowAndEndWithAnAnswer() {
+		this.load.failed(0);
+		assertTrue(this.load.isPaused(200));
+		assertFalse(this.load.isPaused(300));
+		this.load.failed(300);
+		assertTrue(this.load.isPaused(700));
+		this.load.answered(false);
+		assertFalse(this.load.isPaused(701));
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -1,6 +1,9 @@
 package org.mustardlane.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +13,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
+import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.route.RequestLimits;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.exchange.CallRouter;
@@ -18,18 +22,24 @@
 import org.mustardlane.gateway.front.FrontSettings;
 import org.mustardlane.gateway.knowledge.FollowPace;
 import org.mustardlane.gateway.knowledge.Knowledge;
+import org.mustardlane.gateway.knowledge.PauseDetector;
 import org.mustardlane.gateway.knowledge.RecordLog;
+import org.mustardlane.gateway.knowledge.RoutersListener;
 import org.mustardlane.gateway.knowledge.RoutesListener;
 import org.mustardlane.gateway.knowledge.SteadyClock;
 import org.mustardlane.gateway.knowledge.TargetsListener;
 import org.mustardlane.gateway.knowledge.Topic;
 import org.mustardlane.gateway.knowledge.TopicFollower;
+import org.mustardlane.gateway.peer.PeerExchange;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.report.RateLimit;
 import org.mustardlane.gateway.target.TargetClient;
 import org.mustardlane.router.metrics.HealthServer;
+import org.mustardlane.router.peer.GrpcServer;
+import org.mustardlane.router.peer.PeerAddress;
+import org.mustardlane.router.peer.PeerDialer;
 
 /**
  * One router that serves callers over a platform's adapter.
@@ -44,7 +54,9 @@
 
 	private static final int BODIES_PART_OF_MEMORY = 8;
 
-	private static final int REVIEW_MILLIS = 500;
+	private static final int REVIEW_MILLIS = 250;
+
+	private static final int ANNOUNCE_RETRY_MILLIS = 1000;
 
 	/**
 	 * Clients with open connections find another router within this time; the balancer
@@ -59,7 +71,7 @@
 	 */
 	private static final RequestLimits FIRST_LIMITS = new RequestLimits(16_384, 4_194_304, 3000, 15_000);
 
-	private final GatewaySettings settings;
+	private volatile GatewaySettings settings;
 
 	private final SteadyClock clock = SteadyClock.SYSTEM;
 
@@ -81,6 +93,14 @@
 
 	private final TopicFollower targetsFollower;
 
+	private final TopicFollower routersFollower;
+
+	private final RecordLog records;
+
+	private final PeerExchange peers;
+
+	private final PauseDetector pauses;
+
 	private final CountDownLatch drained = new CountDownLatch(1);
 
 	private volatile boolean draining;
@@ -91,23 +111,43 @@
 	 * Creates a gateway that does not listen yet.
 	 * @param settings the settings
 	 * @param adapter the platform
+	 * @throws IOException if the connections to other routers can not be prepared
 	 */
-	public Gateway(GatewaySettings settings, GatewayAdapter adapter) {
+	public Gateway(GatewaySettings settings, GatewayAdapter adapter) throws IOException {
 		this.settings = settings;
 		this.knowledge = new Knowledge(adapter.decoder(), this.log, this.clock);
 		TargetClient client = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		ExchangeServices services = new ExchangeServices(this.loop, this.knowledge, adapter.dialect(), client,
-				this.clock, this.log, this.metrics, settings.retryLimits(), () -> 1, settings.domain(),
-				() -> ThreadLocalRandom.current().nextDouble());
+				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::liveRouters,
+				settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.calls = new CallRouter(services);
 		this.front = new FrontServer(this.loop, adapter.dialect(), this.calls, this::limits,
 				new FrontSettings(FIRST_LIMITS.headerBytes(), settings.memoryBytes() / BODIES_PART_OF_MEMORY),
 				() -> this.draining, this.clock, this.log);
-		RecordLog records = adapter.openLog(this.loops);
-		this.routesFollower = new TopicFollower(records, Topic.ROUTES, FollowPace.PROMPT,
+		this.records = adapter.openLog(this.loops);
+		this.peers = new PeerExchange(settings.vm(), settings.seeds(), this.knowledge, services.loads(), dialer(),
+				this.loop, this.clock, this.log);
+		this.routesFollower = new TopicFollower(this.records, Topic.ROUTES, FollowPace.PROMPT,
 				new RoutesListener(this.knowledge, this.log), this.loop);
-		this.targetsFollower = new TopicFollower(records, Topic.TARGETS, FollowPace.STEADY,
-				new TargetsListener(this.knowledge, this.clock, this.log), this.loop);
+		this.targetsFollower = new TopicFollower(this.records, Topic.TARGETS, FollowPace.STEADY,
+				new TargetsListener(this.knowledge, this.log), this.loop);
+		this.routersFollower = new TopicFollower(this.records, Topic.ROUTERS, FollowPace.SLOW,
+				new RoutersListener(this::routerFound, this.log), this.loop);
+		this.pauses = new PauseDetector(this.clock, System::currentTimeMillis);
+	}
+
+	private PeerDialer dialer() throws IOException {
+		return new PeerDialer(Optional.empty(), this.loops);
+	}
+
+	private void routerFound(String vm, String address) {
+		if (!vm.isEmpty()) {
+			PeerExchange.parse(address).ifPresent((where) -> this.peers.found(new VmId(vm), where));
+		}
+	}
+
+	private int liveRouters() {
+		return this.peers.liveRouters();
 	}
 
 	// AsyncHttpClient accepts no newer kind of group.
@@ -127,9 +167,11 @@
 	public void start() throws IOException {
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
-		this.loop.scheduleAtFixedRate(this.knowledge::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
-		HealthServer.start(this.settings.healthAddress(), this.loops, this.settings.readyPath(), this.metrics::scrape,
-				this::isReady);
+		this.loop.execute(this.routersFollower::start);
+		this.loop.scheduleAtFixedRate(this::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
+		startPeers();
+		serveHealth(this.settings.healthAddress());
+		serveHealth(this.settings.metricsAddress());
 		this.front.start(this.settings.callerAddress());
 		this.metrics.gaugeOpenCalls(this.calls::openCalls);
 		this.metrics.gaugeRoutesVersion(this.knowledge::routesVersion);
@@ -138,6 +180,65 @@
 				this.settings.domain(), "callers", this.settings.callerAddress()));
 	}
 
+	private void startPeers() throws IOException {
+		InetSocketAddress address = this.settings.peerAddress();
+		GrpcServer server = GrpcServer.start(address, Optional.empty(), this.loops, this.peers);
+		PeerAddress own = new PeerAddress(address.getHostString(), server.port());
+		this.loop.execute(() -> this.peers.start(own));
+		this.loop.execute(() -> announce(own));
+	}
+
+	private void serveHealth(InetSocketAddress address) throws IOException {
+		HealthServer.start(address, this.loops, this.settings.readyPath(), this.metrics::scrape, this::isReady);
+	}
+
+	private void announce(PeerAddress own) {
+		// Once is enough: the log keeps the newest record of each router.
+		byte[] body = (own.host() + ":" + own.port()).getBytes(StandardCharsets.UTF_8);
+		this.records.put(Topic.ROUTERS, this.settings.vm().value(), body).whenComplete((done, failure) -> {
+			if (failure != null) {
+				this.loop.schedule(() -> announce(own), ANNOUNCE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private void review() {
+		this.knowledge.review();
+		this.pauses.check().ifPresent((pause) -> {
+			this.log.warn(LogEvent.PAUSE_NOTICED, "steadyMillis", pause.steadyMillis(), "wallMillis",
+					pause.wallMillis());
+			// What is known may be old, and waiting reads may never end.
+			this.routesFollower.start();
+			this.targetsFollower.start();
+		});
+	}
+
+	/**
+	 * Returns the port on which callers are served.
+	 * @return the TCP port
+	 */
+	public int callerPort() {
+		return this.front.port();
+	}
+
+	/**
+	 * Returns the version of the routes in force.
+	 * @return the version, -1 where none is known
+	 */
+	public long routesVersion() {
+		return this.knowledge.routesVersion();
+	}
+
+	/**
+	 * Takes changed settings. Addresses and names stay as they were at the start.
+	 * @param changed the settings
+	 */
+	public void reload(GatewaySettings changed) {
+		this.settings = changed;
+		this.loop.execute(() -> this.log.write(LogEvent.RELOADED, "retryRatio", changed.retryLimits().ratio(),
+				"fixedRepeats", changed.retryLimits().fixedRepeats(), "drainMillis", changed.drainMillis()));
+	}
+
 	private boolean isReady() {
 		return !this.draining && this.knowledge.isComplete();
 	}
@@ -172,10 +273,12 @@
 
 	/**
 	 * Waits for the end of a planned stop.
+	 * @param waitMillis how long to wait at most
+	 * @return whether the stop has ended
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public void awaitDrained() throws InterruptedException {
-		this.drained.await();
+	public boolean awaitDrained(long waitMillis) throws InterruptedException {
+		return this.drained.await(waitMillis, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
@@ -1,10 +1,12 @@
 package org.mustardlane.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.VmId;
-import org.mustardlane.gateway.exchange.RetryLimits;
+import org.mustardlane.core.retry.RetryLimits;
+import org.mustardlane.router.peer.PeerAddress;
 
 /**
  * The checked settings of the daemon.
@@ -15,13 +17,21 @@
  * @param healthAddress where readiness is asked for
  * @param readyPath path under which readiness is asked for
  * @param peerAddress where other routers are served
+ * @param seeds other routers to ask while the platform's log names none; may be stale
  * @param metricsAddress where metrics are read
  * @param memoryBytes memory that the process may use
  * @param drainMillis how long a planned stop may take
  * @param retryLimits how many repeats a pool bears
  */
 public record GatewaySettings(VmId vm, DomainId domain, InetSocketAddress callerAddress,
-		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress,
+		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress, List<PeerAddress> seeds,
 		InetSocketAddress metricsAddress, long memoryBytes, long drainMillis, RetryLimits retryLimits) {
 
+	/**
+	 * Copies the seeds.
+	 */
+	public GatewaySettings {
+		seeds = List.copyOf(seeds);
+	}
+
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeServices.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeServices.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
@@ -14,6 +15,7 @@
 import org.mustardlane.core.placement.PlacementPolicy;
 import org.mustardlane.core.placement.PrefixPolicy;
 import org.mustardlane.core.retry.RetryBudget;
+import org.mustardlane.core.retry.RetryLimits;
 import org.mustardlane.gateway.knowledge.Knowledge;
 import org.mustardlane.gateway.knowledge.SteadyClock;
 import org.mustardlane.gateway.report.DecisionLog;
@@ -29,12 +31,6 @@
  */
 public final class ExchangeServices {
 
-	/**
-	 * Part of the fixed repeats that the routers use, so that an error in their number
-	 * does not pass the bound of the fleet.
-	 */
-	private static final double USED_SHARE = 0.7;
-
 	private final EventLoop loop;
 
 	private final Knowledge knowledge;
@@ -49,7 +45,7 @@
 
 	private final GatewayMetrics metrics;
 
-	private final RetryLimits retryLimits;
+	private final Supplier<RetryLimits> retryLimits;
 
 	private final IntSupplier liveRouters;
 
@@ -78,7 +74,7 @@
 	 * @param random draws from 0 to below 1
 	 */
 	public ExchangeServices(EventLoop loop, Knowledge knowledge, WireDialect dialect, TargetClient client,
-			SteadyClock clock, DecisionLog log, GatewayMetrics metrics, RetryLimits retryLimits,
+			SteadyClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
 			IntSupplier liveRouters, DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.knowledge = knowledge;
@@ -99,7 +95,7 @@
 	 * @param pool where it is sent
 	 */
 	void firstSend(PoolId pool) {
-		budget(pool).firstSend(this.clock.nowMillis());
+		budget(pool).firstSend(this.retryLimits.get(), this.clock.nowMillis());
 	}
 
 	/**
@@ -108,13 +104,11 @@
 	 * @return whether it may be sent
 	 */
 	boolean tryRepeat(PoolId pool) {
-		double share = this.retryLimits.fixedRepeats() * USED_SHARE / Math.max(1, this.liveRouters.getAsInt());
-		return budget(pool).tryRepeat(share, this.clock.nowMillis());
+		return budget(pool).tryRepeat(this.retryLimits.get(), this.liveRouters.getAsInt(), this.clock.nowMillis());
 	}
 
 	private RetryBudget budget(PoolId pool) {
-		return this.budgets.computeIfAbsent(pool,
-				(id) -> new RetryBudget(this.retryLimits.ratio() * USED_SHARE, this.retryLimits.windowMillis()));
+		return this.budgets.computeIfAbsent(pool, (id) -> new RetryBudget());
 	}
 
 	EventLoop loop() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
@@ -1,8 +1,13 @@
 package org.mustardlane.gateway.knowledge;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.mustardlane.core.directory.DirectoryRecord;
 import org.mustardlane.core.directory.TargetDirectory;
@@ -41,8 +46,12 @@
 
 	private Optional<KeyedRecord> routesRecord = Optional.empty();
 
+	private final Map<String, KeyedRecord> targetRecords = new HashMap<>();
+
 	private boolean targetsListed;
 
+	private boolean logLost;
+
 	/**
 	 * Creates knowledge of nothing.
 	 * @param decoder decodes records
@@ -92,6 +101,10 @@
 	 */
 	public void listTargets(List<KeyedRecord> newest, long endOffset) {
 		this.targetsListed = true;
+		Set<String> listed = newest.stream().map(KeyedRecord::key).collect(Collectors.toSet());
+		this.targetRecords.entrySet()
+			.removeIf((row) -> !listed.contains(row.getKey()) && row.getValue().offset() < endOffset);
+		keep(newest);
 		this.targets.replace(decodeTargets(newest), endOffset, this.clock.nowMillis());
 	}
 
@@ -100,9 +113,72 @@
 	 * @param changes the records
 	 */
 	public void takeTargets(List<KeyedRecord> changes) {
+		keep(changes);
 		this.targets.apply(decodeTargets(changes), this.clock.nowMillis());
 	}
 
+	private void keep(List<KeyedRecord> updates) {
+		for (KeyedRecord update : updates) {
+			this.targetRecords.merge(update.key(), update,
+					(known, newer) -> (newer.offset() > known.offset()) ? newer : known);
+		}
+	}
+
+	/**
+	 * Takes records of targets from a peer. A first set makes the targets known, so that
+	 * a router that never reached the log can serve.
+	 * @param relayed the records
+	 */
+	public void takeRelayedTargets(List<KeyedRecord> relayed) {
+		if (!relayed.isEmpty()) {
+			this.targetsListed = true;
+			takeTargets(relayed);
+		}
+	}
+
+	/**
+	 * Returns the records of targets that are newer than an offset, to be passed on.
+	 * @param offset the offset
+	 * @return the records in the order of the log
+	 */
+	public List<KeyedRecord> targetRecordsAfter(long offset) {
+		return this.targetRecords.values()
+			.stream()
+			.filter((known) -> known.offset() > offset)
+			.sorted(Comparator.comparingLong(KeyedRecord::offset))
+			.toList();
+	}
+
+	/**
+	 * Returns the highest offset of a target's record.
+	 * @return the offset, -1 where no target is known
+	 */
+	public long targetsOffset() {
+		return this.targetRecords.values().stream().mapToLong(KeyedRecord::offset).max().orElse(-1);
+	}
+
+	/**
+	 * Notes whether the log can be read.
+	 * @param lost whether it can not
+	 */
+	public void setLogLost(boolean lost) {
+		this.logLost = lost;
+		if (lost) {
+			this.targets.logLost();
+		}
+		else {
+			this.targets.logRegained(this.clock.nowMillis());
+		}
+	}
+
+	/**
+	 * Tells whether the log can not be read.
+	 * @return true while reads fail
+	 */
+	public boolean isLogLost() {
+		return this.logLost;
+	}
+
 	private List<DirectoryRecord> decodeTargets(List<KeyedRecord> rows) {
 		List<DirectoryRecord> decoded = new ArrayList<>();
 		for (KeyedRecord row : rows) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
@@ -12,19 +12,15 @@
 
 	private final Knowledge knowledge;
 
-	private final SteadyClock clock;
-
 	private final DecisionLog log;
 
 	/**
 	 * Creates a listener.
 	 * @param knowledge takes the records
-	 * @param clock the time
 	 * @param log is told when the topic is lost or regained
 	 */
-	public TargetsListener(Knowledge knowledge, SteadyClock clock, DecisionLog log) {
+	public TargetsListener(Knowledge knowledge, DecisionLog log) {
 		this.knowledge = knowledge;
-		this.clock = clock;
 		this.log = log;
 	}
 
@@ -40,13 +36,13 @@
 
 	@Override
 	public void lost(String reason) {
-		this.knowledge.targets().logLost();
+		this.knowledge.setLogLost(true);
 		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.TARGETS, "reason", reason);
 	}
 
 	@Override
 	public void regained() {
-		this.knowledge.targets().logRegained(this.clock.nowMillis());
+		this.knowledge.setLogLost(false);
 		this.log.write(LogEvent.DEPENDENCY_REGAINED, "dependency", "log", "topic", Topic.TARGETS);
 	}
 
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/DigestCodec.java
@@ -0,0 +1,86 @@
+package org.mustardlane.gateway.peer;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.placement.LoadSample;
+import org.mustardlane.core.placement.LoadTable;
+import org.mustardlane.gateway.knowledge.KeyedRecord;
+import org.mustardlane.protocol.KnowledgeDigest;
+import org.mustardlane.protocol.LogRecord;
+import org.mustardlane.protocol.StatedLoad;
+
+/**
+ * Converts records and loads from and to messages.
+ */
+final class DigestCodec {
+
+	/**
+	 * Loads older than this are not passed on.
+	 */
+	private static final int MOST_AGE_MILLIS = 2000;
+
+	private DigestCodec() {
+	}
+
+	/**
+	 * Encodes a record.
+	 * @param known the record
+	 * @return the message
+	 */
+	static LogRecord encode(KeyedRecord known) {
+		return LogRecord.newBuilder()
+			.setKey(known.key())
+			.setOffset(known.offset())
+			.setBody(known.body().map(ByteString::copyFrom).orElse(ByteString.EMPTY))
+			.build();
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param message the message
+	 * @return the record
+	 */
+	static KeyedRecord decode(LogRecord message) {
+		return new KeyedRecord(message.getKey(), message.getOffset(),
+				message.getBody().isEmpty() ? Optional.empty() : Optional.of(message.getBody().toByteArray()));
+	}
+
+	/**
+	 * Adds the loads that were stated lately.
+	 * @param digest where to add them
+	 * @param loads all loads
+	 * @param nowMillis the time
+	 */
+	static void addLoads(KnowledgeDigest.Builder digest, LoadTable loads, long nowMillis) {
+		loads.all().forEach((target, load) -> {
+			long age = nowMillis - load.sample().seenAtMillis();
+			if (age <= MOST_AGE_MILLIS) {
+				digest.addLoads(StatedLoad.newBuilder()
+					.setTarget(target.value())
+					.setRunning(load.sample().running())
+					.setWaiting(load.sample().waiting())
+					.setSlots(load.sample().slots())
+					.setSlownessPercent(load.sample().slownessPercent())
+					.setAgeMillis((int) age));
+			}
+		});
+	}
+
+	/**
+	 * Takes loads that a peer passed on.
+	 * @param digest what the peer said
+	 * @param loads where to note them
+	 * @param nowMillis the time
+	 */
+	static void takeLoads(KnowledgeDigest digest, LoadTable loads, long nowMillis) {
+		for (StatedLoad stated : digest.getLoadsList()) {
+			loads.of(new TargetId(stated.getTarget()))
+				.stated(new LoadSample(stated.getRunning(), stated.getWaiting(), stated.getSlots(),
+						stated.getSlownessPercent(), nowMillis - stated.getAgeMillis()));
+		}
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerBook.java
@@ -0,0 +1,127 @@
+package org.mustardlane.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.router.peer.PeerAddress;
+
+/**
+ * Where other routers listen and when each may be tried again.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class PeerBook {
+
+	private static final int FIRST_PAUSE_MILLIS = 1000;
+
+	private static final int LONGEST_PAUSE_MILLIS = 16_000;
+
+	/**
+	 * Failures in a row after which a router no longer counts as alive.
+	 */
+	private static final int FAILURES_OF_THE_DEAD = 2;
+
+	private final VmId self;
+
+	private final Map<VmId, Peer> peers = new HashMap<>();
+
+	private final List<PeerAddress> seeds;
+
+	PeerBook(VmId self, List<PeerAddress> seeds) {
+		this.self = self;
+		this.seeds = List.copyOf(seeds);
+	}
+
+	/**
+	 * Notes where a router listens.
+	 * @param vm the router
+	 * @param address where it listens
+	 * @return whether this is new
+	 */
+	boolean found(VmId vm, PeerAddress address) {
+		if (vm.equals(this.self)) {
+			return false;
+		}
+		Peer known = this.peers.get(vm);
+		if (known != null && known.address.equals(address)) {
+			return false;
+		}
+		this.peers.put(vm, new Peer(address));
+		return true;
+	}
+
+	/**
+	 * Notes that a router has answered or called.
+	 * @param vm the router
+	 */
+	void alive(VmId vm) {
+		Peer peer = this.peers.get(vm);
+		if (peer != null) {
+			peer.failures = 0;
+			peer.notBeforeMillis = 0;
+		}
+	}
+
+	/**
+	 * Notes that the router at an address did not answer.
+	 * @param address the address
+	 * @param nowMillis the time
+	 */
+	void failed(PeerAddress address, long nowMillis) {
+		for (Peer peer : this.peers.values()) {
+			if (peer.address.equals(address)) {
+				peer.failures++;
+				long pause = (long) FIRST_PAUSE_MILLIS << Math.min(10, peer.failures - 1);
+				peer.notBeforeMillis = nowMillis + Math.min(LONGEST_PAUSE_MILLIS, pause);
+			}
+		}
+	}
+
+	/**
+	 * Picks a router to talk to.
+	 * @param random draws from 0 to below 1
+	 * @param nowMillis the time
+	 * @return an address, or empty where none may be tried now
+	 */
+	Optional<PeerAddress> pick(DoubleSupplier random, long nowMillis) {
+		List<PeerAddress> due = new ArrayList<>();
+		for (Peer peer : this.peers.values()) {
+			if (nowMillis >= peer.notBeforeMillis) {
+				due.add(peer.address);
+			}
+		}
+		if (this.peers.isEmpty()) {
+			due.addAll(this.seeds);
+		}
+		return due.isEmpty() ? Optional.empty() : Optional.of(due.get((int) (random.getAsDouble() * due.size())));
+	}
+
+	/**
+	 * Counts the routers that are taken to live, this one included.
+	 * @return the number, at least 1
+	 */
+	int liveCount() {
+		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.failures < FAILURES_OF_THE_DEAD).count();
+	}
+
+	private static final class Peer {
+
+		private final PeerAddress address;
+
+		private int failures;
+
+		private long notBeforeMillis;
+
+		Peer(PeerAddress address) {
+			this.address = address;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/ArchitectureTests.java
@@ -0,0 +1,35 @@
+package org.mustardlane.gateway;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+/**
+ * Tests of the arrows between the packages of the gateway.
+ */
+public class ArchitectureTests {
+
+	private static final JavaClasses GATEWAY = new ClassFileImporter()
+		.withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+		.importPackages("org.mustardlane.gateway");
+
+	@Test
+	public void gatewayKnowsNoPlatform() {
+		noClasses().should().dependOnClassesThat().resideInAnyPackage("org.mustardlane.platform..").check(GATEWAY);
+	}
+
+	@Test
+	public void gatewayParsesNoForeignFormat() {
+		noClasses().should().dependOnClassesThat().resideInAnyPackage("com.fasterxml..").check(GATEWAY);
+	}
+
+	@Test
+	public void packagesHaveNoCycles() {
+		slices().matching("org.mustardlane.gateway.(*)..").should().beFreeOfCycles().check(GATEWAY);
+	}
+
+}
--- a/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerDialer.java
+++ b/mustardlane-router/src/main/java/org/mustardlane/router/peer/PeerDialer.java
@@ -14,7 +14,7 @@
 /**
  * Opens connections to other routers.
  */
-final class PeerDialer {
+public final class PeerDialer {
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
@@ -34,7 +34,7 @@
 	 * @param loops threads of the connections
 	 * @throws IOException if a file can not be read
 	 */
-	PeerDialer(Optional<TlsIdentity> identity, EventLoopGroup loops) throws IOException {
+	public PeerDialer(Optional<TlsIdentity> identity, EventLoopGroup loops) throws IOException {
 		this.credentials = TlsIdentity.client(identity);
 		this.loops = loops;
 	}
@@ -44,7 +44,7 @@
 	 * @param address the other router
 	 * @return the connection, which is made on first use
 	 */
-	ManagedChannel dial(PeerAddress address) {
+	public ManagedChannel dial(PeerAddress address) {
 		return NettyChannelBuilder.forAddress(address.host(), address.port(), this.credentials)
 			.eventLoopGroup(this.loops)
 			.channelType(NioSocketChannel.class)
