--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -52,15 +52,23 @@
 
 	private static final int LINES_PER_SECOND = 50;
 
-	private static final int BODIES_PART_OF_MEMORY = 8;
+	/**
+	 * Bodies are copied once on their way; the rest of the heap is for everything else.
+	 */
+	private static final int BODIES_PART_OF_HEAP = 5;
 
 	private static final int REVIEW_MILLIS = 250;
 
 	private static final int ANNOUNCE_RETRY_MILLIS = 1000;
 
 	/**
-	 * Clients with open connections find another router within this time; the balancer
-	 * stops to send new ones after two missed checks.
+	 * The balancer checks once a second and stops to send new connections after two
+	 * missed checks.
+	 */
+	private static final int ROTATED_OUT_MILLIS = 2500;
+
+	/**
+	 * Connections that crossed the last check have shown their call by then.
 	 */
 	private static final int LEAST_DRAIN_MILLIS = 3000;
 
@@ -122,7 +130,7 @@
 				settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.calls = new CallRouter(services);
 		this.front = new FrontServer(this.loop, adapter.dialect(), this.calls, this::limits,
-				new FrontSettings(FIRST_LIMITS.headerBytes(), settings.memoryBytes() / BODIES_PART_OF_MEMORY),
+				new FrontSettings(FIRST_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODIES_PART_OF_HEAP),
 				() -> this.draining, this.clock, this.log);
 		this.records = adapter.openLog(this.loops);
 		this.peers = new PeerExchange(settings.vm(), settings.seeds(), this.knowledge, services.loads(), dialer(),
@@ -261,6 +269,10 @@
 
 	private void endWhenIdle() {
 		long elapsed = this.clock.nowMillis() - this.drainStartedAtMillis;
+		if (elapsed >= ROTATED_OUT_MILLIS) {
+			// A caller that kept its connection would come back to a router that ends.
+			this.front.closeIdleConnections();
+		}
 		boolean idle = this.calls.openCalls() == 0 && this.front.busyConnections() == 0;
 		if ((idle && elapsed >= LEAST_DRAIN_MILLIS) || elapsed >= this.settings.drainMillis()) {
 			this.log.write(LogEvent.STOPPED, "openCalls", this.calls.openCalls(), "drainMillis", elapsed);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
@@ -345,6 +345,15 @@
 		}
 	}
 
+	/**
+	 * Closes the connection if it waits for a call.
+	 */
+	void closeIdle() {
+		if (this.phase == Phase.IDLE) {
+			this.channel.close();
+		}
+	}
+
 	boolean isBusy() {
 		return this.phase == Phase.READING || this.phase == Phase.ANSWERING || this.partialHead;
 	}
@@ -397,7 +406,7 @@
 
 		Incoming(HttpRequest request, Rejection rejection) {
 			this.request = request;
-			this.head = new CallHead("", "", "", Optional.empty(), OptionalLong.empty(), OptionalLong.empty());
+			this.head = new CallHead("", "", "", Optional.empty(), OptionalLong.empty(), Optional.empty());
 			this.arrivedAtMillis = 0;
 			this.rejection = Optional.of(rejection);
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontServer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontServer.java
@@ -119,6 +119,16 @@
 		return (int) all.stream().filter(FrontConnection::isBusy).count();
 	}
 
+	/**
+	 * Closes the connections that wait for a call.
+	 */
+	public void closeIdleConnections() {
+		List.copyOf(this.services.connections())
+			.stream()
+			.filter((connection) -> !connection.isBusy())
+			.forEach(FrontConnection::closeIdle);
+	}
+
 	/**
 	 * Stops to listen; connections stay.
 	 */
