--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PlacementRequest.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PlacementRequest.java
@@ -1,7 +1,7 @@
 package org.mustardlane.core.placement;
 
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.DomainId;
@@ -10,11 +10,12 @@
  * A request that needs a target.
  *
  * @param candidates targets that may be given it, without those that it failed at
- * @param prefixHash hash of the longest part of its prompt that other requests share,
- * empty where it shares none
+ * @param prefix the part of its prompt that other requests share, empty where it shares
+ * none
  * @param domain failure domain of the router
  * @param nowMillis the time
  */
-public record PlacementRequest(List<TargetEntry> candidates, OptionalLong prefixHash, DomainId domain, long nowMillis) {
+public record PlacementRequest(List<TargetEntry> candidates, Optional<SharedPrefix> prefix, DomainId domain,
+		long nowMillis) {
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixPolicy.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixPolicy.java
@@ -19,9 +19,18 @@
 public final class PrefixPolicy implements PlacementPolicy {
 
 	/**
-	 * Load above the mean that a home may have, as a factor.
+	 * Load that a home may have for a prefix that is read again at once, as a factor of
+	 * the mean.
 	 */
-	private static final double LOAD_FACTOR = 1.3;
+	private static final double SHORT_PREFIX_FACTOR = 1.25;
+
+	/**
+	 * The same for a prefix that delays all requests of an engine while it is read again;
+	 * below the bound of twice the mean that must hold.
+	 */
+	private static final double LONG_PREFIX_FACTOR = 1.75;
+
+	private static final int LONG_PREFIX_TOKENS = 8000;
 
 	/**
 	 * Load above the mean that a home may have in any case, in requests.
@@ -41,19 +50,24 @@
 
 	@Override
 	public Optional<TargetEntry> choose(PlacementRequest request, LoadTable loads) {
-		if (request.prefixHash().isEmpty()) {
+		if (request.prefix().isEmpty()) {
 			return this.withoutPrefix.choose(request, loads);
 		}
 		long now = request.nowMillis();
 		List<TargetEntry> usable = Candidates.usable(request.candidates(), loads, now);
 		double mean = usable.stream().mapToInt((target) -> loads.of(target.id()).estimate(now)).average().orElse(0);
-		double bound = mean * LOAD_FACTOR + LOAD_SLACK;
-		long prefix = request.prefixHash().getAsLong();
+		SharedPrefix prefix = request.prefix().get();
+		double bound = mean * loadFactor(prefix.tokens()) + LOAD_SLACK;
 		return usable.stream()
 			.filter((target) -> loads.of(target.id()).estimate(now) < bound)
-			.max(Comparator.comparing((target) -> Rendezvous.score(prefix, Rendezvous.hash(target.id().value())),
+			.max(Comparator.comparing((target) -> Rendezvous.score(prefix.hash(), Rendezvous.hash(target.id().value())),
 					Long::compareUnsigned))
 			.or(() -> this.withoutPrefix.choose(request, loads));
 	}
 
+	private static double loadFactor(int tokens) {
+		double part = Math.min(1.0, (double) tokens / LONG_PREFIX_TOKENS);
+		return SHORT_PREFIX_FACTOR + part * (LONG_PREFIX_FACTOR - SHORT_PREFIX_FACTOR);
+	}
+
 }
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
@@ -2,7 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 
@@ -44,20 +44,24 @@
 		return IntStream.range(0, count).mapToObj((index) -> target("engine-" + index, "north")).toList();
 	}
 
-	private static PlacementRequest request(List<TargetEntry> candidates, OptionalLong prefixHash) {
-		return new PlacementRequest(candidates, prefixHash, NORTH, NOW);
+	private static Optional<SharedPrefix> shared(long hash) {
+		return Optional.of(new SharedPrefix(hash, 10_000));
+	}
+
+	private static PlacementRequest request(List<TargetEntry> candidates, Optional<SharedPrefix> prefix) {
+		return new PlacementRequest(candidates, prefix, NORTH, NOW);
 	}
 
 	@Test
 	public void noCandidateMeansNoTarget() {
-		assertTrue(this.prefix.choose(request(List.of(), OptionalLong.of(1)), new LoadTable()).isEmpty());
+		assertTrue(this.prefix.choose(request(List.of(), shared(1)), new LoadTable()).isEmpty());
 	}
 
 	@Test
 	public void routersAgreeOnTheHomeOfAPrefix() {
 		List<TargetEntry> engines = engines(8);
 		for (long key = 0; key < 100; key++) {
-			PlacementRequest request = request(engines, OptionalLong.of(key));
+			PlacementRequest request = request(engines, shared(key));
 			assertEquals(this.prefix.choose(request, new LoadTable()), this.prefix.choose(request, new LoadTable()));
 		}
 	}
@@ -67,8 +71,8 @@
 		List<TargetEntry> all = engines(8);
 		List<TargetEntry> fewer = all.subList(0, 7);
 		for (long key = 0; key < 200; key++) {
-			TargetEntry before = this.prefix.choose(request(all, OptionalLong.of(key)), new LoadTable()).orElseThrow();
-			TargetEntry after = this.prefix.choose(request(fewer, OptionalLong.of(key)), new LoadTable()).orElseThrow();
+			TargetEntry before = this.prefix.choose(request(all, shared(key)), new LoadTable()).orElseThrow();
+			TargetEntry after = this.prefix.choose(request(fewer, shared(key)), new LoadTable()).orElseThrow();
 			if (fewer.contains(before)) {
 				assertEquals(after, before);
 			}
@@ -81,7 +85,7 @@
 		LoadTable loads = new LoadTable();
 		Set<TargetId> used = new HashSet<>();
 		for (int call = 0; call < 80; call++) {
-			TargetEntry chosen = this.prefix.choose(request(engines, OptionalLong.of(5)), loads).orElseThrow();
+			TargetEntry chosen = this.prefix.choose(request(engines, shared(5)), loads).orElseThrow();
 			loads.of(chosen.id()).started();
 			used.add(chosen.id());
 			double mean = (call + 1) / 8.0;
@@ -96,7 +100,7 @@
 		TargetEntry idle = target("idle", "south");
 		LoadTable loads = new LoadTable();
 		loads.of(busy.id()).stated(new LoadSample(6, 2, 8, 100, NOW));
-		assertEquals(this.leastLoaded.choose(request(List.of(busy, idle), OptionalLong.empty()), loads).orElseThrow(),
+		assertEquals(this.leastLoaded.choose(request(List.of(busy, idle), Optional.empty()), loads).orElseThrow(),
 				idle);
 	}
 
@@ -105,7 +109,7 @@
 		TargetEntry near = target("near", "north");
 		TargetEntry far = target("far", "south");
 		for (int draw = 0; draw < 50; draw++) {
-			assertEquals(this.leastLoaded.choose(request(List.of(far, near), OptionalLong.empty()), new LoadTable())
+			assertEquals(this.leastLoaded.choose(request(List.of(far, near), Optional.empty()), new LoadTable())
 				.orElseThrow(), near);
 		}
 	}
@@ -116,11 +120,9 @@
 		TargetEntry sound = target("sound", "south");
 		LoadTable loads = new LoadTable();
 		loads.of(broken.id()).failed(NOW);
-		assertEquals(
-				this.leastLoaded.choose(request(List.of(broken, sound), OptionalLong.empty()), loads).orElseThrow(),
+		assertEquals(this.leastLoaded.choose(request(List.of(broken, sound), Optional.empty()), loads).orElseThrow(),
 				sound);
-		assertEquals(this.leastLoaded.choose(request(List.of(broken), OptionalLong.empty()), loads).orElseThrow(),
-				broken);
+		assertEquals(this.leastLoaded.choose(request(List.of(broken), Optional.empty()), loads).orElseThrow(), broken);
 	}
 
 	@Test
@@ -131,8 +133,7 @@
 			loads.of(engines.get(0).id()).answered(true);
 		}
 		for (long key = 0; key < 50; key++) {
-			assertNotEquals(this.prefix.choose(request(engines, OptionalLong.of(key)), loads).orElseThrow(),
-					engines.get(0));
+			assertNotEquals(this.prefix.choose(request(engines, shared(key)), loads).orElseThrow(), engines.get(0));
 		}
 	}
 
@@ -143,7 +144,7 @@
 		engines.forEach((engine) -> loads.of(engine.id()).failed(NOW));
 		Set<TargetEntry> used = new HashSet<>();
 		for (long key = 0; key < 50; key++) {
-			used.add(this.prefix.choose(request(engines, OptionalLong.of(key)), loads).orElseThrow());
+			used.add(this.prefix.choose(request(engines, shared(key)), loads).orElseThrow());
 		}
 		assertEquals(used.size(), 4);
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
@@ -19,13 +19,12 @@
  * @param peerAddress where other routers are served
  * @param seeds other routers to ask while the platform's log names none; may be stale
  * @param metricsAddress where metrics are read
- * @param memoryBytes memory that the process may use
  * @param drainMillis how long a planned stop may take
  * @param retryLimits how many repeats a pool bears
  */
 public record GatewaySettings(VmId vm, DomainId domain, InetSocketAddress callerAddress,
 		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress, List<PeerAddress> seeds,
-		InetSocketAddress metricsAddress, long memoryBytes, long drainMillis, RetryLimits retryLimits) {
+		InetSocketAddress metricsAddress, long drainMillis, RetryLimits retryLimits) {
 
 	/**
 	 * Copies the seeds.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -102,7 +102,7 @@
 			.filter((target) -> !this.tried.contains(target.id()))
 			.toList();
 		return this.services.placement()
-			.choose(new PlacementRequest(candidates, this.routed.call().head().prefixHash(), this.services.domain(),
+			.choose(new PlacementRequest(candidates, this.routed.call().head().prefix(), this.services.domain(),
 					this.services.nowMillis()), this.services.loads());
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -25,9 +25,10 @@
 public final class TargetClient {
 
 	/**
-	 * Several round trips between failure domains; a target that is up accepts at once.
+	 * Many round trips between failure domains; a target that is up accepts at once, and
+	 * nothing was sent to one that does not.
 	 */
-	private static final int CONNECT_TIMEOUT_MILLIS = 300;
+	private static final int CONNECT_TIMEOUT_MILLIS = 150;
 
 	private static final int MOST_HEADER_BYTES = 65_536;
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.mustardlane.core.placement.SharedPrefix;
+
 /**
  * The head of a call as the caller sent it.
  *
@@ -12,10 +14,9 @@
  * @param key key of the organisation, empty where none was sent
  * @param patienceMillis how long the caller waits from the arrival of the head on, empty
  * where it does not say
- * @param prefixHash hash of the longest part of the prompt that other calls share, empty
- * where there is none
+ * @param prefix the part of the prompt that other calls share, empty where there is none
  */
 public record CallHead(String requestId, String host, String path, Optional<String> key, OptionalLong patienceMillis,
-		OptionalLong prefixHash) {
+		Optional<SharedPrefix> prefix) {
 
 }
