Believe removals that a router with a sound log passes on; log changes of targets

Cause: found by PeerKnowledgeTests: a router that the store refuses kept a removed target for as long as the refusal lasted. Ruled out: drained targets, whose records are passed on as they are.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -17,7 +17,7 @@
  * <p>
  * A record that is older than what is known of its target is left out. While the log is
  * in trouble, and for a while after, a missing entry proves nothing: targets whose
- * entries are missing stay until {@link #removalsHoldAtMillis()}. Not thread-safe.
+ * entries are missing stay until {@link #removalsHold(long)}. Not thread-safe.
  */
 public final class TargetDirectory {
 
@@ -46,24 +46,50 @@
 	 * Takes changes in the order of the log.
 	 * @param changes the records
 	 * @param nowMillis the time
+	 * @return the targets whose state has changed
 	 */
-	public void apply(List<DirectoryRecord> changes, long nowMillis) {
+	public List<TargetChange> apply(List<DirectoryRecord> changes, long nowMillis) {
+		return applyAll(changes, removalsHold(nowMillis));
+	}
+
+	/**
+	 * Takes changes that a router passed on which reads the log: its removals hold
+	 * although this router does not read the log itself.
+	 * @param changes the records
+	 * @return the targets whose state has changed
+	 */
+	public List<TargetChange> applyRelayed(List<DirectoryRecord> changes) {
+		return applyAll(changes, true);
+	}
+
+	private List<TargetChange> applyAll(List<DirectoryRecord> changes, boolean removalsHold) {
+		List<TargetChange> seen = new ArrayList<>();
 		for (DirectoryRecord change : changes) {
 			DirectoryRecord known = this.records.get(change.id());
 			if (known != null && known.offset() >= change.offset()) {
 				continue;
 			}
-			take(change, nowMillis);
+			Optional<TargetState> before = state(known);
+			take(change, removalsHold);
+			Optional<TargetState> after = state(this.records.get(change.id()));
+			if (!before.equals(after)) {
+				seen.add(new TargetChange(change.id(), before, after));
+			}
 		}
 		rebuild();
+		return seen;
 	}
 
-	private void take(DirectoryRecord change, long nowMillis) {
+	private static Optional<TargetState> state(DirectoryRecord known) {
+		return Optional.ofNullable(known).flatMap(DirectoryRecord::entry).map(TargetEntry::state);
+	}
+
+	private void take(DirectoryRecord change, boolean removalsHold) {
 		if (change.entry().isPresent()) {
 			this.missing.remove(change.id());
 			this.records.put(change.id(), change);
 		}
-		else if (removalsHold(nowMillis)) {
+		else if (removalsHold) {
 			this.missing.remove(change.id());
 			this.records.put(change.id(), change);
 		}
@@ -77,8 +103,9 @@
 	 * @param newest the records
 	 * @param endOffset end of the log when they were read
 	 * @param nowMillis the time
+	 * @return the targets whose state has changed
 	 */
-	public void replace(List<DirectoryRecord> newest, long endOffset, long nowMillis) {
+	public List<TargetChange> replace(List<DirectoryRecord> newest, long endOffset, long nowMillis) {
 		Set<TargetId> listed = new HashSet<>();
 		newest.forEach((row) -> listed.add(row.id()));
 		List<DirectoryRecord> changes = new ArrayList<>(newest);
@@ -87,7 +114,7 @@
 				changes.add(new DirectoryRecord(known.id(), endOffset - 1, Optional.empty()));
 			}
 		}
-		apply(changes, nowMillis);
+		return apply(changes, nowMillis);
 	}
 
 	/**
@@ -128,7 +155,12 @@
 		return removed;
 	}
 
-	private boolean removalsHold(long nowMillis) {
+	/**
+	 * Tells whether a missing entry proves that its target is gone.
+	 * @param nowMillis the time
+	 * @return false while the log is in trouble and for a while after
+	 */
+	public boolean removalsHold(long nowMillis) {
 		return !this.logInTrouble && nowMillis >= this.removalsHoldAtMillis;
 	}
 
@@ -170,14 +202,6 @@
 		return List.copyOf(this.records.values());
 	}
 
-	/**
-	 * Returns from when on a missing entry proves that its target is gone.
-	 * @return the time in milliseconds
-	 */
-	public long removalsHoldAtMillis() {
-		return this.removalsHoldAtMillis;
-	}
-
 	/**
 	 * Counts the targets that take new work.
 	 * @return the number over all pools
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -115,6 +115,8 @@
 
 	private long drainStartedAtMillis;
 
+	private volatile int peerPort;
+
 	/**
 	 * Creates a gateway that does not listen yet.
 	 * @param settings the settings
@@ -192,6 +194,7 @@
 		InetSocketAddress address = this.settings.peerAddress();
 		GrpcServer server = GrpcServer.start(address, Optional.empty(), this.loops, this.peers);
 		PeerAddress own = new PeerAddress(address.getHostString(), server.port());
+		this.peerPort = server.port();
 		this.loop.execute(() -> this.peers.start(own));
 		this.loop.execute(() -> announce(own));
 	}
@@ -229,6 +232,14 @@
 		return this.front.port();
 	}
 
+	/**
+	 * Returns the port on which other routers are served.
+	 * @return the TCP port
+	 */
+	public int peerPort() {
+		return this.peerPort;
+	}
+
 	/**
 	 * Returns the version of the routes in force.
 	 * @return the version, -1 where none is known
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
@@ -10,8 +10,10 @@
 import java.util.stream.Collectors;
 
 import org.mustardlane.core.directory.DirectoryRecord;
+import org.mustardlane.core.directory.TargetChange;
 import org.mustardlane.core.directory.TargetDirectory;
 import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.directory.TargetState;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.report.DecisionLog;
@@ -105,7 +107,7 @@
 		this.targetRecords.entrySet()
 			.removeIf((row) -> !listed.contains(row.getKey()) && row.getValue().offset() < endOffset);
 		keep(newest);
-		this.targets.replace(decodeTargets(newest), endOffset, this.clock.nowMillis());
+		logChanges(this.targets.replace(decodeTargets(newest), endOffset, this.clock.nowMillis()));
 	}
 
 	/**
@@ -114,7 +116,18 @@
 	 */
 	public void takeTargets(List<KeyedRecord> changes) {
 		keep(changes);
-		this.targets.apply(decodeTargets(changes), this.clock.nowMillis());
+		logChanges(this.targets.apply(decodeTargets(changes), this.clock.nowMillis()));
+	}
+
+	private void logChanges(List<TargetChange> changes) {
+		for (TargetChange change : changes) {
+			this.log.write(LogEvent.TARGET_CHANGED, "target", change.id(), "state", text(change.after()), "before",
+					text(change.before()));
+		}
+	}
+
+	private static String text(Optional<TargetState> state) {
+		return state.map(TargetState::name).orElse("NONE");
 	}
 
 	private void keep(List<KeyedRecord> updates) {
@@ -132,16 +145,21 @@
 	public void takeRelayedTargets(List<KeyedRecord> relayed) {
 		if (!relayed.isEmpty()) {
 			this.targetsListed = true;
-			takeTargets(relayed);
+			keep(relayed);
+			logChanges(this.targets.applyRelayed(decodeTargets(relayed)));
 		}
 	}
 
 	/**
-	 * Returns the records of targets that are newer than an offset, to be passed on.
+	 * Returns the records of targets that are newer than an offset, to be passed on; none
+	 * while this router itself can not tell a missing target from one that is gone.
 	 * @param offset the offset
 	 * @return the records in the order of the log
 	 */
 	public List<KeyedRecord> targetRecordsAfter(long offset) {
+		if (this.logLost || !this.targets.removalsHold(this.clock.nowMillis())) {
+			return List.of();
+		}
 		return this.targetRecords.values()
 			.stream()
 			.filter((known) -> known.offset() > offset)
@@ -208,7 +226,7 @@
 	 */
 	public void review() {
 		for (TargetId gone : this.targets.review(this.clock.nowMillis())) {
-			this.log.write(LogEvent.TARGET_CHANGED, "target", gone, "state", "gone", "reason", "missing");
+			this.log.write(LogEvent.TARGET_CHANGED, "target", gone, "state", "NONE", "reason", "missing");
 		}
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
@@ -178,7 +178,7 @@
 		if (asked.getRoutesVersion() < this.knowledge.routesVersion()) {
 			this.knowledge.routesRecord().map(DigestCodec::encode).ifPresent(reply::setRoutes);
 		}
-		if (asked.getLogLost() && !this.knowledge.isLogLost()) {
+		if (asked.getLogLost()) {
 			this.knowledge.targetRecordsAfter(asked.getTargetsOffset())
 				.forEach((known) -> reply.addTargets(DigestCodec.encode(known)));
 		}
