--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -149,11 +149,13 @@
 				new FrontSettings(FIRST_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODIES_PART_OF_HEAP),
 				() -> this.draining, this.clock, this.log);
 		this.records = adapter.openLog(this.loops);
-		this.routesFollower = new TopicFollower(this.records, Topic.ROUTES, FollowPace.PROMPT,
-				new RoutesListener(this.knowledge, this.log), this.loop);
-		this.targetsFollower = new TopicFollower(this.records, Topic.TARGETS, FollowPace.STEADY,
-				new TargetsListener(this.knowledge, this.log), this.loop);
-		this.routersFollower = new TopicFollower(this.records, Topic.ROUTERS, FollowPace.SLOW,
+		this.routesFollower = new TopicFollower(this.records, Topic.ROUTES,
+				FollowPace.waiting(settings.changeBoundMillis()), new RoutesListener(this.knowledge, this.log),
+				this.loop);
+		this.targetsFollower = new TopicFollower(this.records, Topic.TARGETS,
+				FollowPace.polling(settings.leavingBoundMillis()), new TargetsListener(this.knowledge, this.log),
+				this.loop);
+		this.routersFollower = new TopicFollower(this.records, Topic.ROUTERS, FollowPace.SELDOM,
 				new RoutersListener(this::routerFound, this.log), this.loop);
 		this.pauses = new PauseDetector(this.clock, System::currentTimeMillis);
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
@@ -20,11 +20,14 @@
  * @param seeds other routers to ask while the platform's log names none; may be stale
  * @param metricsAddress where metrics are read
  * @param drainMillis how long a planned stop may take
+ * @param changeBoundMillis within which a change of the routes must be in force
+ * @param leavingBoundMillis within which a leaving target must get no new work
  * @param retryLimits how many repeats a pool bears
  */
 public record GatewaySettings(VmId vm, DomainId domain, InetSocketAddress callerAddress,
 		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress, List<PeerAddress> seeds,
-		InetSocketAddress metricsAddress, long drainMillis, RetryLimits retryLimits) {
+		InetSocketAddress metricsAddress, long drainMillis, int changeBoundMillis, int leavingBoundMillis,
+		RetryLimits retryLimits) {
 
 	/**
 	 * Copies the seeds.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/FollowPace.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/FollowPace.java
@@ -9,21 +9,40 @@
 public record FollowPace(int waitMillis, int pauseMillis) {
 
 	/**
-	 * For a topic that changes seldom and must be in force within two seconds: a read
-	 * waits at the log, and is short enough that a silent connection is noticed in time.
+	 * For a topic that only introduces routers to each other; those that come later call
+	 * the others themselves.
 	 */
-	public static final FollowPace PROMPT = new FollowPace(2000, 0);
+	public static final FollowPace SELDOM = new FollowPace(0, 15_000);
 
 	/**
-	 * For a topic in which every target writes all the time: a waiting read would return
-	 * at once, so it is read at intervals. A leaving target must be known within two
-	 * seconds.
+	 * Part of the bound of a change for which a read may wait: a silent connection must
+	 * be noticed within the bound and the time for which a router has to be in touch.
 	 */
-	public static final FollowPace STEADY = new FollowPace(0, 1000);
+	private static final double WAIT_PART = 1.4;
 
 	/**
-	 * For a topic that only introduces routers to each other.
+	 * Part of the bound of a leaving target that passes between two reads; the rest is
+	 * for the read itself and for a slow VM.
 	 */
-	public static final FollowPace SLOW = new FollowPace(0, 5000);
+	private static final double PAUSE_PART = 0.6;
+
+	/**
+	 * Paces a topic that changes seldom: a read waits at the log for the next change.
+	 * @param boundMillis within which a change must be in force
+	 * @return the pace
+	 */
+	public static FollowPace waiting(int boundMillis) {
+		return new FollowPace((int) (boundMillis * WAIT_PART), 0);
+	}
+
+	/**
+	 * Paces a topic in which every target writes all the time: a waiting read would
+	 * return at once, so it is read at intervals.
+	 * @param boundMillis within which a leaving target must be known
+	 * @return the pace
+	 */
+	public static FollowPace polling(int boundMillis) {
+		return new FollowPace(0, (int) (boundMillis * PAUSE_PART));
+	}
 
 }
