--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -144,7 +145,7 @@
 		this.services = new ExchangeServices(this.loop, this.knowledge, adapter.dialect(), client, this.clock, this.log,
 				this.metrics, () -> this.settings.retryLimits(), this::liveRouters, settings.domain(),
 				() -> ThreadLocalRandom.current().nextDouble());
-		this.calls = new CallRouter(this.services);
+		this.calls = new CallRouter(this.services, this::endsAtMillis);
 		this.front = new FrontServer(this.loop, adapter.dialect(), this.calls, this::limits,
 				new FrontSettings(FIRST_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODIES_PART_OF_HEAP),
 				() -> this.draining, this.clock, this.log);
@@ -283,6 +284,11 @@
 				"fixedRepeats", changed.retryLimits().fixedRepeats(), "drainMillis", changed.drainMillis()));
 	}
 
+	private OptionalLong endsAtMillis() {
+		return this.draining ? OptionalLong.of(this.drainStartedAtMillis + this.settings.drainMillis())
+				: OptionalLong.empty();
+	}
+
 	private boolean isReady() {
 		return !this.draining && this.knowledge.isComplete();
 	}
@@ -296,8 +302,8 @@
 			if (this.draining) {
 				return;
 			}
-			this.draining = true;
 			this.drainStartedAtMillis = this.clock.nowMillis();
+			this.draining = true;
 			this.log.write(LogEvent.DRAINING, "openCalls", this.calls.openCalls());
 			endWhenIdle();
 		});
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -1,6 +1,8 @@
 package org.mustardlane.gateway.exchange;
 
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
@@ -10,6 +12,7 @@
 import org.mustardlane.core.route.PoolSpec;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.core.route.StopRules;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
@@ -32,8 +35,15 @@
 	 */
 	private static final long STARTING_MILLIS = 1000;
 
+	/**
+	 * Another router can serve the call at once.
+	 */
+	private static final long STOPPING_MILLIS = 50;
+
 	private final ExchangeServices services;
 
+	private final Supplier<OptionalLong> endsAtMillis;
+
 	private final long startedAtMillis;
 
 	private int openCalls;
@@ -41,9 +51,11 @@
 	/**
 	 * Creates a router of calls.
 	 * @param services what all calls share
+	 * @param endsAtMillis when the process ends, empty while no stop is in progress
 	 */
-	public CallRouter(ExchangeServices services) {
+	public CallRouter(ExchangeServices services, Supplier<OptionalLong> endsAtMillis) {
 		this.services = services;
+		this.endsAtMillis = endsAtMillis;
 		this.startedAtMillis = services.nowMillis();
 	}
 
@@ -62,7 +74,7 @@
 		return this.services.nowMillis() - this.startedAtMillis < STARTING_MILLIS;
 	}
 
-	private static Optional<Rejection> rejectionIn(RouteTable table, CallHead head) {
+	private Optional<Rejection> rejectionIn(RouteTable table, CallHead head) {
 		Optional<Route> route = table.find(head.host(), head.path());
 		if (route.isEmpty()) {
 			return Optional.of(Rejection.lasting(HttpResponseStatus.NOT_FOUND.code(), "No route"));
@@ -70,7 +82,16 @@
 		if (table.needsKey(route.get()) && organisation(table, head).isEmpty()) {
 			return Optional.of(Rejection.lasting(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
 		}
-		return Optional.empty();
+		return rejectionWhileStopping(route.get());
+	}
+
+	private Optional<Rejection> rejectionWhileStopping(Route route) {
+		OptionalLong end = this.endsAtMillis.get();
+		if (end.isEmpty() || StopRules.takes(route, end.getAsLong() - this.services.nowMillis())) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops", STOPPING_MILLIS));
 	}
 
 	private static Optional<Organisation> organisation(RouteTable table, CallHead head) {
