Leave a failure domain alone that is cut off

Two different targets of a domain that fail with none answering in between now pause the domain; prefixes are not copied from beyond the cut. Test: DomainReachTests.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/Candidates.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/Candidates.java
@@ -20,16 +20,16 @@
 	/**
 	 * Leaves out targets that are paused, then those that fail far more often than the
 	 * others, unless nothing would be left.
-	 * @param candidates the targets
+	 * @param request the request with its candidates
 	 * @param loads their loads
-	 * @param nowMillis the time
 	 * @return the targets to choose from, empty only where there was no candidate
 	 */
-	static List<TargetEntry> usable(List<TargetEntry> candidates, LoadTable loads, long nowMillis) {
-		List<TargetEntry> awake = candidates.stream()
-			.filter((target) -> !loads.of(target.id()).isPaused(nowMillis))
+	static List<TargetEntry> usable(PlacementRequest request, LoadTable loads) {
+		List<TargetEntry> awake = request.candidates()
+			.stream()
+			.filter((target) -> !loads.isPaused(target, request.domain(), request.nowMillis()))
 			.toList();
-		List<TargetEntry> reachable = awake.isEmpty() ? candidates : awake;
+		List<TargetEntry> reachable = awake.isEmpty() ? request.candidates() : awake;
 		double usual = reachable.stream().mapToDouble((target) -> loads.of(target.id()).failureShare()).min().orElse(0);
 		List<TargetEntry> sound = reachable.stream()
 			.filter((target) -> loads.of(target.id()).failureShare() <= usual + EXCESS_FAILURE_SHARE)
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/LeastLoadedPolicy.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/LeastLoadedPolicy.java
@@ -35,7 +35,7 @@
 
 	@Override
 	public Optional<TargetEntry> choose(PlacementRequest request, LoadTable loads) {
-		List<TargetEntry> usable = Candidates.usable(request.candidates(), loads, request.nowMillis());
+		List<TargetEntry> usable = Candidates.usable(request, loads);
 		TargetEntry best = null;
 		double bestScore = Double.POSITIVE_INFINITY;
 		for (TargetEntry target : usable) {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/LoadTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/LoadTable.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.TargetId;
 
 /**
@@ -16,6 +18,28 @@
 
 	private final Map<TargetId, TargetLoad> loads = new HashMap<>();
 
+	private final DomainReach domains = new DomainReach();
+
+	/**
+	 * Returns whether failure domains can be reached.
+	 * @return the reach
+	 */
+	public DomainReach domains() {
+		return this.domains;
+	}
+
+	/**
+	 * Tells whether a target should be left alone for now, for itself or with its domain.
+	 * @param target the target
+	 * @param own failure domain of the router, which is never cut off from itself
+	 * @param nowMillis the time
+	 * @return true while a pause lasts
+	 */
+	public boolean isPaused(TargetEntry target, DomainId own, long nowMillis) {
+		boolean cutOff = !target.domain().equals(own) && this.domains.isPaused(target.domain(), nowMillis);
+		return cutOff || of(target.id()).isPaused(nowMillis);
+	}
+
 	/**
 	 * Returns the load of a target.
 	 * @param target the target
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixPolicy.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixPolicy.java
@@ -54,7 +54,7 @@
 			return this.withoutPrefix.choose(request, loads);
 		}
 		long now = request.nowMillis();
-		List<TargetEntry> usable = Candidates.usable(request.candidates(), loads, now);
+		List<TargetEntry> usable = Candidates.usable(request, loads);
 		double mean = usable.stream().mapToInt((target) -> loads.of(target.id()).estimate(now)).average().orElse(0);
 		SharedPrefix prefix = request.prefix().get();
 		double bound = mean * loadFactor(prefix.tokens()) + LOAD_SLACK;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -116,6 +116,7 @@
 		long now = this.services.nowMillis();
 		this.lastHeardMillis = now;
 		this.status = head.status();
+		this.services.loads().domains().reached(this.target.domain());
 		head.load().ifPresent(this.load::stated);
 		if (head.notExecuted() || head.status() == MISDIRECTED) {
 			this.call.ifPresent(TargetCall::cancel);
@@ -171,6 +172,9 @@
 	@Override
 	public void failed(CallFailure failure, String detail) {
 		this.services.holders().lost(this.target.id());
+		if (failure == CallFailure.NOT_SENT) {
+			this.services.loads().domains().failed(this.target.domain(), this.target.id(), this.services.nowMillis());
+		}
 		this.load.failed(this.services.nowMillis());
 		fail((failure == CallFailure.NOT_SENT) ? AttemptResult.NOT_SENT : AttemptResult.BROKEN, detail);
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -123,7 +123,9 @@
 		}
 		List<TargetEntry> pool = this.services.knowledge().targets().ready(this.routed.pool());
 		return this.routed.prefix()
-			.flatMap((prefix) -> this.services.holders().source(prefix, target, pool, this.services.nowMillis()));
+			.flatMap((prefix) -> this.services.holders().source(prefix, target, pool, this.services.nowMillis()))
+			.filter((source) -> !this.services.loads()
+				.isPaused(source, this.services.domain(), this.services.nowMillis()));
 	}
 
 	String requestId() {
