--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/CommandName.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/CommandName.java
@@ -34,6 +34,10 @@
 	/** Draws the time line. */
 	TIMELINE("timeline", "", "draw the events of all named routers in causal order", TimelineCommand::new),
 
+	/** Explains a call. */
+	EXPLAIN("explain", "REQUEST-ID FILE...", "tell the story of one call from the logs of gateways",
+			ExplainCommand::new),
+
 	/** Makes a key. */
 	KEY("key", "", "make a random organisation key and its digest", KeyCommand::new);
 
--- /dev/null
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/ExplainCommand.java
@@ -0,0 +1,66 @@
+package org.mustardlane.cli;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Tells the story of one call from the logs of many gateways: its own lines, and what its
+ * VMs learnt or lost shortly before.
+ */
+final class ExplainCommand implements Command {
+
+	@Override
+	public Step prepare(CliArguments arguments, CliSettings settings) {
+		arguments.requireOperands(2, Integer.MAX_VALUE, "REQUEST-ID FILE...");
+		return () -> {
+			String requestId = arguments.operands().get(0);
+			List<LogLine> lines = new ArrayList<>();
+			for (String file : arguments.operands().subList(1, arguments.operands().size())) {
+				lines.addAll(read(file));
+			}
+			return new ExplainReport(requestId, CallStory.of(requestId, lines));
+		};
+	}
+
+	private static List<LogLine> read(String file) throws CommandException {
+		try (Stream<String> text = Files.lines(Path.of(file), StandardCharsets.UTF_8)) {
+			return text.flatMap((line) -> LogLine.parse(line).stream()).toList();
+		}
+		catch (IOException | InvalidPathException ex) {
+			throw new CommandException(ExitCode.USAGE,
+					"file %s can not be read: %s".formatted(file, ex.getClass().getSimpleName()));
+		}
+	}
+
+	/**
+	 * The story of a call.
+	 *
+	 * @param requestId the call
+	 * @param lines its lines and their surroundings, in the order of time
+	 */
+	record ExplainReport(String requestId, List<LogLine> lines) implements Report {
+
+		@Override
+		public String text() {
+			if (this.lines.isEmpty()) {
+				return "no line tells of %s%n".formatted(this.requestId);
+			}
+			StringBuilder text = new StringBuilder();
+			this.lines.forEach((line) -> text.append(line.text()).append('\n'));
+			return text.toString();
+		}
+
+		@Override
+		public ExitCode exitCode() {
+			return this.lines.isEmpty() ? ExitCode.UNAVAILABLE : ExitCode.OK;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/LogLine.java
@@ -0,0 +1,79 @@
+package org.mustardlane.cli;
+
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * A line of a gateway's log that tells of an event.
+ *
+ * @param at when it was written, on the clock of its VM
+ * @param vm the VM
+ * @param event kind of the event
+ * @param fields the other fields, by name
+ */
+record LogLine(String at, String vm, String event, Map<String, String> fields) {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final String EVENT = "event";
+
+	/**
+	 * Reads a line. What stands before the JSON object, such as a collector's own time,
+	 * is left out.
+	 * @param line the line
+	 * @return the event, or empty where the line tells of none
+	 */
+	static Optional<LogLine> parse(String line) {
+		int start = line.indexOf('{');
+		if (start < 0) {
+			return Optional.empty();
+		}
+		try {
+			JsonNode root = MAPPER.readTree(line.substring(start));
+			JsonNode message = root.path("message");
+			Instant.parse(root.path("time").asText());
+			if (!message.path(EVENT).isTextual()) {
+				return Optional.empty();
+			}
+			Map<String, String> fields = new TreeMap<>();
+			message.fields().forEachRemaining((field) -> fields.put(field.getKey(), field.getValue().asText()));
+			fields.remove(EVENT);
+			return Optional.of(new LogLine(root.path("time").asText(), root.path("vm").asText(),
+					message.path(EVENT).asText(), fields));
+		}
+		catch (JsonProcessingException | DateTimeParseException ex) {
+			// Other programs write to the same files; their lines tell nothing of calls.
+			return Optional.empty();
+		}
+	}
+
+	Instant instant() {
+		return Instant.parse(this.at);
+	}
+
+	String field(String name) {
+		return this.fields.getOrDefault(name, "");
+	}
+
+	/**
+	 * Writes the line for people.
+	 * @return time, VM, event and fields
+	 */
+	String text() {
+		String values = this.fields.entrySet()
+			.stream()
+			.filter((field) -> !field.getValue().isEmpty())
+			.map((field) -> field.getKey() + "=" + field.getValue())
+			.collect(Collectors.joining(" "));
+		return "%s  %-20s %-20s %s".formatted(this.at, this.vm, this.event, values);
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -143,6 +143,8 @@
 	 */
 	void answerBegins(AnswerHead head, TargetEntry target) {
 		this.runs++;
+		this.services.metrics()
+			.answerBegun(this.routed.pool(), this.services.nowMillis() - this.routed.call().arrivedAtMillis());
 		if (head.isSuccess()) {
 			this.routed.prefix()
 				.ifPresent((prefix) -> this.services.holders().answered(prefix, target, this.services.nowMillis()));
@@ -179,6 +181,7 @@
 			step = (result == AttemptResult.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
 		}
 		logAttempt(result, step, detail);
+		this.services.metrics().attemptFailed(result, step);
 		if (step == NextStep.RELAY) {
 			return true;
 		}
