--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -1,6 +1,7 @@
 package org.mustardlane.core.directory;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,11 @@
  */
 public final class TargetDirectory {
 
+	/**
+	 * Removals that are remembered, so that an old record does not bring a target back.
+	 */
+	private static final int MOST_REMOVALS = 1000;
+
 	private final int graceMillis;
 
 	private final Map<TargetId, DirectoryRecord> records = new HashMap<>();
@@ -164,7 +170,20 @@
 		return !this.logInTrouble && nowMillis >= this.removalsHoldAtMillis;
 	}
 
+	private void forgetOldRemovals() {
+		List<DirectoryRecord> removals = this.records.values()
+			.stream()
+			.filter((known) -> known.entry().isEmpty())
+			.sorted(Comparator.comparingLong(DirectoryRecord::offset))
+			.toList();
+		int surplus = Math.max(0, removals.size() - MOST_REMOVALS);
+		removals.subList(0, surplus).forEach((known) -> this.records.remove(known.id()));
+	}
+
 	private void rebuild() {
+		if (this.records.size() > MOST_REMOVALS) {
+			forgetOldRemovals();
+		}
 		Map<PoolId, List<TargetEntry>> grouped = new HashMap<>();
 		for (DirectoryRecord known : this.records.values()) {
 			known.entry()
@@ -195,11 +214,13 @@
 	}
 
 	/**
-	 * Returns the records of all targets, to be passed on.
-	 * @return the records
+	 * Returns the targets that are not gone.
+	 * @return their names
 	 */
-	public List<DirectoryRecord> records() {
-		return List.copyOf(this.records.values());
+	public Set<TargetId> present() {
+		Set<TargetId> present = new HashSet<>();
+		this.records.values().forEach((known) -> known.entry().ifPresent((entry) -> present.add(entry.id())));
+		return present;
 	}
 
 	/**
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/LoadTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/LoadTable.java
@@ -59,10 +59,10 @@
 
 	/**
 	 * Forgets targets that are gone and hold no request of this router.
-	 * @param gone the targets
+	 * @param present the targets that are not gone
 	 */
-	public void forget(Set<TargetId> gone) {
-		this.loads.entrySet().removeIf((row) -> gone.contains(row.getKey()) && row.getValue().inFlight() == 0);
+	public void retain(Set<TargetId> present) {
+		this.loads.entrySet().removeIf((row) -> !present.contains(row.getKey()) && row.getValue().inFlight() == 0);
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,14 +39,11 @@
 
 	private static final int MOST_PREFIXES = 4096;
 
-	private final Map<Long, List<Holder>> holders = new LinkedHashMap<>(16, 0.75f, true) {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, List<Holder>> eldest) {
-			return size() > MOST_PREFIXES;
-		}
-	};
+	private static final int MOST_ENGINES = 8192;
+
+	private final Map<Long, List<Holder>> holders = new NewestEntries<>(MOST_PREFIXES);
 
-	private final Map<TargetId, Long> firstSeenMillis = new LinkedHashMap<>();
+	private final Map<TargetId, Long> firstSeenMillis = new NewestEntries<>(MOST_ENGINES);
 
 	/**
 	 * Notes that an engine has begun to answer a request with a prefix.
--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -95,6 +95,20 @@
 		assertEquals(known.readyCount(), 1);
 	}
 
+	@Test
+	public void removalsAreForgottenInTheEnd() {
+		TargetDirectory known = new TargetDirectory(GRACE_MILLIS);
+		for (int target = 0; target < 3000; target++) {
+			known.apply(
+					List.of(row("t-" + target, 2 * target, TargetState.READY), removal("t-" + target, 2 * target + 1)),
+					0);
+		}
+		known.apply(List.of(row("t-2999", 5998, TargetState.READY)), 0);
+		assertEquals(known.readyCount(), 0);
+		known.apply(List.of(row("t-0", 0, TargetState.READY)), 0);
+		assertEquals(known.present().size(), 1);
+	}
+
 	@Test
 	public void directoryStartsEmpty() {
 		assertEquals(this.directory.readyCount(), 0);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -241,6 +241,7 @@
 
 	private void review() {
 		this.knowledge.review();
+		this.services.loads().retain(this.knowledge.targets().present());
 		this.pauses.check().ifPresent((pause) -> {
 			this.log.warn(LogEvent.PAUSE_NOTICED, "steadyMillis", pause.steadyMillis(), "wallMillis",
 					pause.wallMillis());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
@@ -36,6 +36,11 @@
 	 */
 	private static final int REMOVAL_GRACE_MILLIS = 2500;
 
+	/**
+	 * Above this, old removals are no longer kept for other routers.
+	 */
+	private static final int MOST_TARGET_RECORDS = 10_000;
+
 	private final KnowledgeDecoder decoder;
 
 	private final DecisionLog log;
@@ -141,6 +146,11 @@
 			this.targetRecords.merge(update.key(), update,
 					(known, newer) -> (newer.offset() > known.offset()) ? newer : known);
 		}
+		if (this.targetRecords.size() > MOST_TARGET_RECORDS) {
+			long newest = targetsOffset();
+			this.targetRecords.values()
+				.removeIf((known) -> known.body().isEmpty() && known.offset() < newest - MOST_TARGET_RECORDS);
+		}
 	}
 
 	/**
