--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
@@ -2,11 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.PoolId;
 import org.mustardlane.core.model.common.Rendezvous;
 import org.mustardlane.core.model.common.TargetId;
 
@@ -37,6 +41,11 @@
 	 */
 	private static final int LEAST_TOKENS = 256;
 
+	/**
+	 * An engine that leaves goes on serving for about this long.
+	 */
+	private static final int LEAVING_MILLIS = 2500;
+
 	private static final int MOST_PREFIXES = 4096;
 
 	private static final int MOST_ENGINES = 8192;
@@ -45,6 +54,10 @@
 
 	private final Map<TargetId, Long> firstSeenMillis = new NewestEntries<>(MOST_ENGINES);
 
+	private final Map<PoolId, Set<TargetEntry>> poolsBefore = new HashMap<>();
+
+	private final Map<TargetEntry, Long> leftAtMillis = new NewestEntries<>(MOST_ENGINES);
+
 	/**
 	 * Notes that an engine has begun to answer a request with a prefix.
 	 * @param prefix the prefix
@@ -69,7 +82,7 @@
 	 */
 	public Optional<TargetEntry> source(SharedPrefix prefix, TargetEntry target, List<TargetEntry> pool,
 			long nowMillis) {
-		pool.forEach((engine) -> this.firstSeenMillis.putIfAbsent(engine.id(), nowMillis));
+		notePool(target.pool(), pool, nowMillis);
 		if (prefix.tokens() < LEAST_TOKENS) {
 			return Optional.empty();
 		}
@@ -94,18 +107,37 @@
 		this.holders.values().forEach((known) -> known.removeIf((holder) -> holder.target().id().equals(target)));
 	}
 
+	private void notePool(PoolId id, List<TargetEntry> pool, long nowMillis) {
+		Set<TargetEntry> now = new HashSet<>(pool);
+		Set<TargetEntry> before = this.poolsBefore.put(id, now);
+		if (now.equals(before)) {
+			return;
+		}
+		pool.forEach((engine) -> this.firstSeenMillis.putIfAbsent(engine.id(), nowMillis));
+		if (before != null) {
+			before.stream()
+				.filter((engine) -> !now.contains(engine))
+				.forEach((engine) -> this.leftAtMillis.put(engine, nowMillis));
+		}
+		now.forEach(this.leftAtMillis::remove);
+	}
+
 	// Without own answers the order of homes tells: the first other one that is not
 	// young.
 	private Optional<TargetEntry> likelyHolder(SharedPrefix prefix, TargetEntry target, List<TargetEntry> pool,
 			long nowMillis) {
 		List<TargetEntry> order = new ArrayList<>(pool);
+		this.leftAtMillis.forEach((engine, leftAt) -> {
+			if (engine.pool().equals(target.pool()) && nowMillis - leftAt < LEAVING_MILLIS) {
+				order.add(engine);
+			}
+		});
 		Comparator<TargetEntry> byScore = Comparator.comparing(
 				(engine) -> Rendezvous.score(prefix.hash(), Rendezvous.hash(engine.id().value())),
 				Long::compareUnsigned);
 		order.sort(byScore.reversed());
 		for (TargetEntry engine : order) {
-			boolean young = nowMillis - this.firstSeenMillis.get(engine.id()) < YOUNG_MILLIS;
-			if (engine.id().equals(target.id()) && !young) {
+			if (engine.id().equals(target.id()) && !isYoung(engine, nowMillis)) {
 				return Optional.empty();
 			}
 			if (!engine.id().equals(target.id())) {
@@ -115,6 +147,10 @@
 		return Optional.empty();
 	}
 
+	private boolean isYoung(TargetEntry engine, long nowMillis) {
+		return nowMillis - this.firstSeenMillis.getOrDefault(engine.id(), nowMillis) < YOUNG_MILLIS;
+	}
+
 	private record Holder(TargetEntry target, long usedAtMillis) {
 
 	}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
@@ -71,6 +71,15 @@
 		assertEquals(this.holders.source(PREFIX, home, List.of(ONE, OTHER), 40_000), Optional.empty());
 	}
 
+	@Test
+	public void newHomeCopiesFromAHomeThatLeaves() {
+		TargetEntry home = homeOf(List.of(ONE, OTHER));
+		TargetEntry next = home.equals(ONE) ? OTHER : ONE;
+		this.holders.source(PREFIX, next, List.of(ONE, OTHER), 0);
+		assertEquals(this.holders.source(PREFIX, next, List.of(next), 20_000), Optional.of(home));
+		assertEquals(this.holders.source(PREFIX, next, List.of(next), 24_000), Optional.empty());
+	}
+
 	@Test
 	public void shortPrefixIsReadAgain() {
 		SharedPrefix brief = new SharedPrefix(42, 100);
