--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PrefixHolders.java
@@ -42,9 +42,10 @@
 	private static final int LEAST_TOKENS = 256;
 
 	/**
-	 * An engine that leaves goes on serving for about this long.
+	 * An engine that leaves goes on serving for two seconds, of which more than one may
+	 * have passed before this router knows.
 	 */
-	private static final int LEAVING_MILLIS = 2500;
+	private static final int LEAVING_MILLIS = 1000;
 
 	private static final int MOST_PREFIXES = 4096;
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
@@ -77,7 +77,7 @@
 		TargetEntry next = home.equals(ONE) ? OTHER : ONE;
 		this.holders.source(PREFIX, next, List.of(ONE, OTHER), 0);
 		assertEquals(this.holders.source(PREFIX, next, List.of(next), 20_000), Optional.of(home));
-		assertEquals(this.holders.source(PREFIX, next, List.of(next), 24_000), Optional.empty());
+		assertEquals(this.holders.source(PREFIX, next, List.of(next), 21_000), Optional.empty());
 	}
 
 	@Test
