--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
@@ -1,9 +1,7 @@
 package org.mustardlane.gateway.front;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
@@ -70,7 +68,7 @@
 
 	private boolean partialHead;
 
-	private Optional<Incoming> incoming = Optional.empty();
+	private Optional<IncomingCall> incoming = Optional.empty();
 
 	private Optional<FrontAnswer> answer = Optional.empty();
 
@@ -181,7 +179,7 @@
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
-		this.incoming = Optional.of(new Incoming(request, head, this.services.nowMillis()));
+		this.incoming = Optional.of(IncomingCall.accepted(request, head, this.services.nowMillis()));
 	}
 
 	private Optional<Rejection> tooLong(long bodyBytes) {
@@ -197,16 +195,16 @@
 			reject(rejection);
 			return;
 		}
-		this.incoming = Optional.of(new Incoming(request, rejection));
+		this.incoming = Optional.of(IncomingCall.rejected(request, rejection));
 	}
 
 	private void takeContent(HttpContent content) {
 		if (this.incoming.isEmpty()) {
 			return;
 		}
-		Incoming call = this.incoming.get();
+		IncomingCall call = this.incoming.get();
 		int bytes = content.content().readableBytes();
-		Optional<Rejection> rejection = tooLong((long) call.body.size() + bytes);
+		Optional<Rejection> rejection = tooLong((long) call.bodyBytes() + bytes);
 		if (rejection.isPresent()) {
 			reject(rejection.get());
 			return;
@@ -216,24 +214,23 @@
 					BUSY_RETRY_MILLIS));
 			return;
 		}
-		call.body.writeBytes(ByteBufUtil.getBytes(content.content()));
+		call.append(ByteBufUtil.getBytes(content.content()));
 		if (content instanceof LastHttpContent) {
 			arrived(call);
 		}
 	}
 
-	private void arrived(Incoming call) {
+	private void arrived(IncomingCall call) {
 		enter(Phase.ANSWERING);
-		FrontAnswer own = new FrontAnswer(this, this.channel, HttpMethod.HEAD.equals(call.request.method()),
-				this.keepAlive || HttpVersion.HTTP_1_1.equals(call.request.protocolVersion()));
+		FrontAnswer own = new FrontAnswer(this, this.channel, HttpMethod.HEAD.equals(call.request().method()),
+				this.keepAlive || HttpVersion.HTTP_1_1.equals(call.request().protocolVersion()));
 		this.answer = Optional.of(own);
-		if (call.rejection.isPresent()) {
-			own.answer(call.rejection.get().status(), RejectionAnswer.headers(call.rejection.get()),
-					RejectionAnswer.body(call.rejection.get()));
+		if (call.rejection().isPresent()) {
+			Rejection rejection = call.rejection().get();
+			own.answer(rejection.status(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
 			return;
 		}
-		OpenCall open = this.services.handler()
-			.open(new Call(call.request, call.head, call.body.toByteArray(), call.arrivedAtMillis), own);
+		OpenCall open = this.services.handler().open(call.whole(), own);
 		own.serve(open);
 	}
 
@@ -315,7 +312,7 @@
 	}
 
 	private void forgetBody() {
-		this.incoming.ifPresent((call) -> this.services.releaseBody(call.body.size()));
+		this.incoming.ifPresent((call) -> this.services.releaseBody(call.bodyBytes()));
 		this.incoming = Optional.empty();
 	}
 
@@ -385,32 +382,4 @@
 
 	}
 
-	private static final class Incoming {
-
-		private final HttpRequest request;
-
-		private final CallHead head;
-
-		private final long arrivedAtMillis;
-
-		private final Optional<Rejection> rejection;
-
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-
-		Incoming(HttpRequest request, CallHead head, long arrivedAtMillis) {
-			this.request = request;
-			this.head = head;
-			this.arrivedAtMillis = arrivedAtMillis;
-			this.rejection = Optional.empty();
-		}
-
-		Incoming(HttpRequest request, Rejection rejection) {
-			this.request = request;
-			this.head = new CallHead("", "", "", Optional.empty(), OptionalLong.empty(), Optional.empty());
-			this.arrivedAtMillis = 0;
-			this.rejection = Optional.of(rejection);
-		}
-
-	}
-
 }
