Never take a failure for the rest of a stream; pass on the failure of an only target

Causes, read in the code: (1) an engine that answers a resume with a failure without a body ended the caller's stream as if it were whole (ORDER); a failure with a body, or a second answer to a large plain one, could have been appended. (2) An idempotent call whose target failed was answered 502 of our own where no other target was left. Tests in CallPathTests failed first.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -131,7 +131,13 @@
 			return;
 		}
 		this.load.answered(head.isServerError());
-		if (head.isServerError() && !this.exchange.sink().isBegun()) {
+		if (this.exchange.sink().isBegun() && !(head.isSuccess() && head.eventStream())) {
+			// Its body must not be taken for the rest of the stream.
+			this.call.ifPresent(TargetCall::cancel);
+			fail(AttemptResult.BROKEN, "status " + head.status() + " in place of the rest of a stream");
+			return;
+		}
+		if (head.isServerError()) {
 			failureAnswered(head);
 			return;
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -177,7 +177,8 @@
 			this.runs++;
 		}
 		NextStep step = RetryRules.after(state(), result);
-		if (step == NextStep.RETRY_WITHIN_BUDGET && !this.services.tryRepeat(this.routed.pool())) {
+		if (step == NextStep.RETRY_WITHIN_BUDGET
+				&& !(hasOtherTarget() && this.services.tryRepeat(this.routed.pool()))) {
 			step = (result == AttemptResult.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
 		}
 		logAttempt(result, step, detail);
@@ -208,13 +209,16 @@
 	 * @return whether it may; if so, the repeat is taken from the budget
 	 */
 	boolean mayReplaceAttempt() {
-		boolean others = this.services.knowledge()
+		CallState ran = new CallState(route().semantics(), this.runs + 1, route().maxAttempts(), this.sends);
+		return hasOtherTarget() && RetryRules.mayRunAgain(ran);
+	}
+
+	private boolean hasOtherTarget() {
+		return this.services.knowledge()
 			.targets()
 			.ready(this.routed.pool())
 			.stream()
 			.anyMatch((target) -> !this.tried.contains(target.id()));
-		CallState ran = new CallState(route().semantics(), this.runs + 1, route().maxAttempts(), this.sends);
-		return others && RetryRules.mayRunAgain(ran);
 	}
 
 	private CallState state() {
