Keep the share of routers that do not answer; say no age where no load was stated

Cause, read in the code: a router that reached no other counted itself alone (at least one of eight), so that beyond cuts the routers together could have passed the fixed number of repeats (BUDGET).

--- a/mustardlane-cli/src/main/java/org/mustardlane/cli/CallStory.java
+++ b/mustardlane-cli/src/main/java/org/mustardlane/cli/CallStory.java
@@ -44,11 +44,16 @@
 		Instant last = own.stream().map(LogLine::instant).max(Comparator.naturalOrder()).orElseThrow();
 		return lines.stream()
 			.filter((line) -> own.contains(line) || (vms.contains(line.vm()) && isWithin(line, first, last)
-					&& (SURROUNDINGS.contains(line.event()) || tellsOf(line, targets))))
+					&& (isSurrounding(line) || tellsOf(line, targets))))
 			.sorted(Comparator.comparing(LogLine::instant))
 			.toList();
 	}
 
+	private static boolean isSurrounding(LogLine line) {
+		// A router that has just started finds all others; that explains no call.
+		return SURROUNDINGS.contains(line.event()) && !"found".equals(line.field("state"));
+	}
+
 	private static boolean isWithin(LogLine line, Instant first, Instant last) {
 		return !line.instant().isBefore(first) && !line.instant().isAfter(last);
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -143,7 +143,7 @@
 		this.knowledge = new Knowledge(adapter.decoder(), this.log, this.clock, this.known::countDown);
 		TargetClient client = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.services = new ExchangeServices(this.loop, this.knowledge, adapter.dialect(), client, this.clock, this.log,
-				this.metrics, () -> this.settings.retryLimits(), this::liveRouters, settings.domain(),
+				this.metrics, () -> this.settings.retryLimits(), this::sharers, settings.domain(),
 				() -> ThreadLocalRandom.current().nextDouble());
 		this.calls = new CallRouter(this.services, this::endsAtMillis);
 		this.front = new FrontServer(this.loop, adapter.dialect(), this.calls, this::limits,
@@ -168,8 +168,8 @@
 		}
 	}
 
-	private int liveRouters() {
-		return Math.max(LEAST_SHARES, this.peers.map(PeerExchange::liveRouters).orElse(LEAST_SHARES));
+	private int sharers() {
+		return Math.max(LEAST_SHARES, this.peers.map(PeerExchange::sharers).orElse(LEAST_SHARES));
 	}
 
 	// AsyncHttpClient accepts no newer kind of group.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 
 import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.placement.LoadSample;
 import org.mustardlane.core.placement.TargetLoad;
 import org.mustardlane.core.retry.AttemptResult;
 import org.mustardlane.gateway.report.LogEvent;
@@ -75,8 +76,7 @@
 		this.lastHeardMillis = this.services.nowMillis();
 		this.services.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
-					this.load.estimate(this.lastHeardMillis), "sampleAgeMillis",
-					this.lastHeardMillis - this.load.sample().seenAtMillis());
+					this.load.estimate(this.lastHeardMillis), "sampleAgeMillis", sampleAge());
 		TargetCall sent = this.services.client().send(this.target, requestId, head, body, this);
 		this.call = Optional.of(sent);
 		if (this.ended) {
@@ -85,6 +85,11 @@
 		watch(silenceLimitMillis());
 	}
 
+	private String sampleAge() {
+		LoadSample sample = this.load.sample();
+		return sample.equals(LoadSample.NONE) ? "" : Long.toString(this.lastHeardMillis - sample.seenAtMillis());
+	}
+
 	private long silenceLimitMillis() {
 		return this.answering ? SILENT_STREAM_MILLIS : SILENT_OBJECTIVES * this.exchange.route().objectiveMillis();
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeServices.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeServices.java
@@ -48,7 +48,7 @@
 
 	private final Supplier<RetryLimits> retryLimits;
 
-	private final IntSupplier liveRouters;
+	private final IntSupplier sharers;
 
 	private final DomainId domain;
 
@@ -72,13 +72,13 @@
 	 * @param log is told of decisions
 	 * @param metrics counts outcomes
 	 * @param retryLimits how many repeats a pool bears
-	 * @param liveRouters how many routers share the limits
+	 * @param sharers how many routers share the limits
 	 * @param domain failure domain of this router
 	 * @param random draws from 0 to below 1
 	 */
 	public ExchangeServices(EventLoop loop, Knowledge knowledge, WireDialect dialect, TargetClient client,
 			SteadyClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			IntSupplier liveRouters, DomainId domain, DoubleSupplier random) {
+			IntSupplier sharers, DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.knowledge = knowledge;
 		this.dialect = dialect;
@@ -87,7 +87,7 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.retryLimits = retryLimits;
-		this.liveRouters = liveRouters;
+		this.sharers = sharers;
 		this.domain = domain;
 		this.random = random;
 		this.placement = new PrefixPolicy(new LeastLoadedPolicy(random));
@@ -107,7 +107,7 @@
 	 * @return whether it may be sent
 	 */
 	boolean tryRepeat(PoolId pool) {
-		return budget(pool).tryRepeat(this.retryLimits.get(), this.liveRouters.getAsInt(), this.clock.nowMillis());
+		return budget(pool).tryRepeat(this.retryLimits.get(), this.sharers.getAsInt(), this.clock.nowMillis());
 	}
 
 	private RetryBudget budget(PoolId pool) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerBook.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerBook.java
@@ -22,11 +22,6 @@
 
 	private static final int LONGEST_PAUSE_MILLIS = 16_000;
 
-	/**
-	 * Failures in a row after which a router no longer counts as alive.
-	 */
-	private static final int FAILURES_OF_THE_DEAD = 2;
-
 	private final VmId self;
 
 	private final Map<VmId, Peer> peers = new HashMap<>();
@@ -103,11 +98,12 @@
 	}
 
 	/**
-	 * Counts the routers that are taken to live, this one included.
+	 * Counts the routers among which limits of the fleet are shared, this one included.
+	 * One that does not answer keeps its share: beyond a cut it may use it all the same.
 	 * @return the number, at least 1
 	 */
-	int liveCount() {
-		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.failures < FAILURES_OF_THE_DEAD).count();
+	int sharers() {
+		return 1 + this.peers.size();
 	}
 
 	private static final class Peer {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
@@ -211,11 +211,11 @@
 	}
 
 	/**
-	 * Counts the routers that are taken to live, this one included.
+	 * Counts the routers among which limits of the fleet are shared, this one included.
 	 * @return the number, at least 1
 	 */
-	public int liveRouters() {
-		return this.book.liveCount();
+	public int sharers() {
+		return this.book.sharers();
 	}
 
 	/**
