--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimRandomRunTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimRandomRunTests.java
@@ -103,7 +103,7 @@
 
 		private final List<String> faults;
 
-		private final FakeRouters routers = new FakeRouters(ClaimHandlerTests.SETTINGS, "a", "b", "c");
+		private final FakeRouters routers = new FakeRouters(ClaimFixture.SETTINGS, "a", "b", "c");
 
 		private final Map<String, Attempt> attempts = new HashMap<>();
 
@@ -187,8 +187,7 @@
 			this.attempts.put(id, attempt);
 			this.tally.asked++;
 			do {
-				this.routers.send(attempt.asker, anyVm(),
-						ClaimHandlerTests.askOf(id, attempt.key, "body", deadlineMillis));
+				this.routers.send(attempt.asker, anyVm(), ClaimFixture.askOf(id, attempt.key, "body", deadlineMillis));
 			}
 			while (chance(400));
 		}
@@ -230,7 +229,7 @@
 			this.tally.ran++;
 			Long lastMillis = this.lastRunMillis.put(attempt.key, this.routers.nowMillis);
 			long graceMillis = LONGEST_DEADLINE_MILLIS;
-			long windowMillis = ClaimHandlerTests.SETTINGS.windowMillis();
+			long windowMillis = ClaimFixture.SETTINGS.windowMillis();
 			if (lastMillis != null && this.routers.nowMillis < lastMillis + windowMillis - graceMillis) {
 				this.faults.add("seed " + this.seed + " " + attempt.key + " " + lastMillis + " and "
 						+ this.routers.nowMillis + " by " + attempt.id);
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowMeasurement.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowMeasurement.java
@@ -51,7 +51,7 @@
 		long startNanos = System.nanoTime();
 		for (int number = 0; number < CLAIMS; number++) {
 			long deadlineMillis = routers.nowMillis + 10_000;
-			routers.send(vm, vm, ClaimHandlerTests.askOf("a" + number, "k" + number, "body", deadlineMillis));
+			routers.send(vm, vm, ClaimFixture.askOf("a" + number, "k" + number, "body", deadlineMillis));
 			if (number % 50 == 0) {
 				routers.pass(100);
 			}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/claim/ClaimWindowTests.java
@@ -19,7 +19,7 @@
  */
 public class ClaimWindowTests {
 
-	private static final ClaimSettings SETTINGS = ClaimHandlerTests.SETTINGS;
+	private static final ClaimSettings SETTINGS = ClaimFixture.SETTINGS;
 
 	private static final long WINDOW_MILLIS = SETTINGS.windowMillis();
 
