Refuse calls that wait for a starting router while their callers can still come back

Change: a call waits for a third of its caller's time and no longer than the start, then gets a 503 with a time to come back that callers heed. That it waits is a line of the log (call-held); rejected calls are logged with their ids, also those rejected after their body; the last target stays named in the line of a call that ended. Tests: StartRulesTests, CallDuringStartTests (a clock that only the test moves).

--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/route/StartRulesTests.java
@@ -0,0 +1,38 @@
+package org.mustardlane.core.route;
+
+import java.util.OptionalLong;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/**
+ * Tests of how long calls wait for a router that starts.
+ */
+public class StartRulesTests {
+
+	@DataProvider
+	public Object[][] holds() {
+		return new Object[][] { { 0, OptionalLong.empty(), 1000 }, { 0, OptionalLong.of(900), 300 },
+				{ 900, OptionalLong.of(15_000), 1000 }, { 900, OptionalLong.of(150), 950 } };
+	}
+
+	@Test(dataProvider = "holds")
+	public void callWaitsForAPartOfItsPatienceAndNoLongerThanTheStart(long arrivedAtMillis, OptionalLong patience,
+			long until) {
+		assertEquals(StartRules.holdUntilMillis(0, arrivedAtMillis, patience), until);
+	}
+
+	@DataProvider
+	public Object[][] returns() {
+		return new Object[][] { { 0, OptionalLong.empty(), 250 }, { 300, OptionalLong.of(900), 150 },
+				{ 300, OptionalLong.of(15_000), 250 }, { 500, OptionalLong.of(400), 0 } };
+	}
+
+	@Test(dataProvider = "returns")
+	public void refusedCallerIsToldATimeItCanHeed(long waitedMillis, OptionalLong patience, long retryAfterMillis) {
+		assertEquals(StartRules.retryAfterMillis(waitedMillis, patience), retryAfterMillis);
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -220,10 +220,6 @@
 		return this.call.filter(TargetCall::isSent).isPresent();
 	}
 
-	String targetName() {
-		return this.target.id().value();
-	}
-
 	/**
 	 * Reads on or holds back.
 	 * @param reading whether to read
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -12,13 +12,14 @@
 import org.mustardlane.core.route.PoolSpec;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.core.route.StartRules;
 import org.mustardlane.core.route.StopRules;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
-import org.mustardlane.gateway.front.RejectionAnswer;
+import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
 
 /**
@@ -29,12 +30,6 @@
  */
 public final class CallRouter implements CallHandler {
 
-	/**
-	 * A router that has just started reads routes and targets within this time; calls
-	 * that arrive meanwhile wait for it.
-	 */
-	private static final long STARTING_MILLIS = 1000;
-
 	/**
 	 * Another router can serve the call at once.
 	 */
@@ -61,17 +56,23 @@
 
 	@Override
 	public Optional<Rejection> check(CallHead head) {
-		if (!this.services.knowledge().isComplete()) {
-			return isStarting() ? Optional.empty()
-					: Optional.of(Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
-							"The router does not know the routes yet", STARTING_MILLIS));
+		return rejection(head, this.services.nowMillis());
+	}
+
+	private Optional<Rejection> rejection(CallHead head, long arrivedAtMillis) {
+		if (this.services.knowledge().isComplete()) {
+			return this.services.knowledge().routes().flatMap((known) -> rejectionIn(known, head));
+		}
+		if (this.services.nowMillis() < holdUntilMillis(head, arrivedAtMillis)) {
+			return Optional.empty();
 		}
-		Optional<RouteTable> table = this.services.knowledge().routes();
-		return table.flatMap((known) -> rejectionIn(known, head));
+		long waited = this.services.nowMillis() - arrivedAtMillis;
+		return Optional.of(Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+				"The router does not know the routes yet", StartRules.retryAfterMillis(waited, head.patienceMillis())));
 	}
 
-	private boolean isStarting() {
-		return this.services.nowMillis() - this.startedAtMillis < STARTING_MILLIS;
+	private long holdUntilMillis(CallHead head, long arrivedAtMillis) {
+		return StartRules.holdUntilMillis(this.startedAtMillis, arrivedAtMillis, head.patienceMillis());
 	}
 
 	private Optional<Rejection> rejectionIn(RouteTable table, CallHead head) {
@@ -100,18 +101,29 @@
 
 	@Override
 	public OpenCall open(Call call, CallerChannel caller) {
-		if (!this.services.knowledge().isComplete() && isStarting()) {
-			StartingCall waiting = new StartingCall(this.services, () -> open(call, caller), this::isStarting);
-			waiting.start();
-			return waiting;
-		}
 		// The routes may have changed since the head arrived.
-		Optional<Rejection> rejection = check(call.head());
+		Optional<Rejection> rejection = rejection(call.head(), call.arrivedAtMillis());
 		if (rejection.isPresent()) {
-			caller.answer(rejection.get().status(), RejectionAnswer.headers(rejection.get()),
-					RejectionAnswer.body(rejection.get()));
+			this.services.log()
+				.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status",
+						rejection.get().status(), "reason", rejection.get().reason());
+			caller.reject(rejection.get());
 			return NoCall.INSTANCE;
 		}
+		return this.services.knowledge().isComplete() ? route(call, caller) : hold(call, caller);
+	}
+
+	private OpenCall hold(Call call, CallerChannel caller) {
+		long untilMillis = holdUntilMillis(call.head(), call.arrivedAtMillis());
+		this.services.log()
+			.write(LogEvent.CALL_HELD, "requestId", call.head().requestId(), "atMostMillis",
+					untilMillis - this.services.nowMillis());
+		StartingCall waiting = new StartingCall(this.services, () -> open(call, caller), untilMillis);
+		waiting.start();
+		return waiting;
+	}
+
+	private OpenCall route(Call call, CallerChannel caller) {
 		RouteTable table = this.services.knowledge().routes().orElseThrow();
 		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
 		PoolId pool = route.pickPool(this.services.draw());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -22,7 +22,6 @@
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
-import org.mustardlane.gateway.front.RejectionAnswer;
 import org.mustardlane.gateway.report.CallOutcome;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.AnswerHead;
@@ -51,6 +50,8 @@
 
 	private Optional<Attempt> current = Optional.empty();
 
+	private String lastTarget = "";
+
 	private Optional<Future<?>> deadline = Optional.empty();
 
 	private int runs;
@@ -109,6 +110,7 @@
 	private void send(TargetEntry target) {
 		this.sends++;
 		this.tried.add(target.id());
+		this.lastTarget = target.id().value();
 		HttpRequest head = this.services.dialect()
 			.writeDispatch(this.routed.call().request(), new Dispatch(target.id(), Math.max(1, timeLeftMillis()),
 					this.routed.organisation().map(Organisation::id), this.sink.lastEventId(), copySource(target)));
@@ -200,8 +202,8 @@
 	private void logAttempt(AttemptResult result, NextStep step, String detail) {
 		this.services.log()
 			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routed.pool(), "target",
-					this.current.map(Attempt::targetName).orElse(""), "result", result, "next", step, "runs", this.runs,
-					"sends", this.sends, "detail", detail);
+					this.lastTarget, "result", result, "next", step, "runs", this.runs, "sends", this.sends, "detail",
+					detail);
 	}
 
 	/**
@@ -242,13 +244,13 @@
 		Rejection rejection = Rejection.passing(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), detail,
 				RetryTimes.afterRefusal(this.services.draw()));
 		end(outcome, rejection.status(), detail);
-		this.caller.answer(rejection.status(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+		this.caller.reject(rejection);
 	}
 
 	private void fail(HttpResponseStatus status, String detail) {
 		Rejection rejection = Rejection.lasting(status.code(), detail);
 		end(CallOutcome.FAILED, status.code(), detail);
-		this.caller.answer(status.code(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+		this.caller.reject(rejection);
 	}
 
 	private void timeIsUp() {
@@ -290,9 +292,9 @@
 		this.services.metrics().callEnded(outcome, this.routed.pool(), elapsed);
 		this.services.log()
 			.write(LogEvent.CALL_ENDED, "requestId", requestId(), "route", route().name(), "pool", this.routed.pool(),
-					"target", this.current.map(Attempt::targetName).orElse(""), "outcome", outcome, "status", status,
-					"runs", this.runs, "sends", this.sends, "elapsedMillis", elapsed, "routesVersion",
-					this.routed.routesVersion(), "detail", detail);
+					"target", this.lastTarget, "outcome", outcome, "status", status, "runs", this.runs, "sends",
+					this.sends, "elapsedMillis", elapsed, "routesVersion", this.routed.routesVersion(), "detail",
+					detail);
 		this.onEnd.run();
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/StartingCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/StartingCall.java
@@ -1,7 +1,6 @@
 package org.mustardlane.gateway.exchange;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.mustardlane.gateway.front.OpenCall;
@@ -21,7 +20,7 @@
 
 	private final Supplier<OpenCall> open;
 
-	private final BooleanSupplier starting;
+	private final long untilMillis;
 
 	private OpenCall opened = NoCall.INSTANCE;
 
@@ -31,12 +30,12 @@
 	 * Creates a call that does not wait yet.
 	 * @param services what all calls share
 	 * @param open opens the call
-	 * @param starting whether it is worth waiting
+	 * @param untilMillis when to open it whether the routes are known or not
 	 */
-	StartingCall(ExchangeServices services, Supplier<OpenCall> open, BooleanSupplier starting) {
+	StartingCall(ExchangeServices services, Supplier<OpenCall> open, long untilMillis) {
 		this.services = services;
 		this.open = open;
-		this.starting = starting;
+		this.untilMillis = untilMillis;
 	}
 
 	/**
@@ -46,7 +45,7 @@
 		if (this.gone) {
 			return;
 		}
-		if (this.services.knowledge().isComplete() || !this.starting.getAsBoolean()) {
+		if (this.services.knowledge().isComplete() || this.services.nowMillis() >= this.untilMillis) {
 			this.opened = this.open.get();
 			return;
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerChannel.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerChannel.java
@@ -16,6 +16,14 @@
 	 */
 	void answer(int status, HttpHeaders headers, byte[] body);
 
+	/**
+	 * Answers a call that no target answers.
+	 * @param rejection why
+	 */
+	default void reject(Rejection rejection) {
+		answer(rejection.status(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+	}
+
 	/**
 	 * Begins an answer whose body follows in parts.
 	 * @param status status of the response
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
@@ -173,7 +173,7 @@
 		Optional<Rejection> rejection = tooLong(HttpUtil.getContentLength(request, 0L))
 			.or(() -> this.services.handler().check(head));
 		if (rejection.isPresent()) {
-			rejectHead(rejection.get(), request);
+			rejectHead(rejection.get(), request, head);
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(request)) {
@@ -189,13 +189,12 @@
 	}
 
 	// Without a body the connection can go on.
-	private void rejectHead(Rejection rejection, HttpRequest request) {
+	private void rejectHead(Rejection rejection, HttpRequest request, CallHead head) {
 		boolean bodyFollows = HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
+		this.incoming = Optional.of(IncomingCall.rejected(request, head, this.services.nowMillis(), rejection));
 		if (bodyFollows) {
 			reject(rejection);
-			return;
 		}
-		this.incoming = Optional.of(IncomingCall.rejected(request, rejection));
 	}
 
 	private void takeContent(HttpContent content) {
@@ -226,8 +225,8 @@
 				this.keepAlive || HttpVersion.HTTP_1_1.equals(call.request().protocolVersion()));
 		this.answer = Optional.of(own);
 		if (call.rejection().isPresent()) {
-			Rejection rejection = call.rejection().get();
-			own.answer(rejection.status(), RejectionAnswer.headers(rejection), RejectionAnswer.body(rejection));
+			logRejection(call.rejection().get());
+			own.reject(call.rejection().get());
 			return;
 		}
 		OpenCall open = this.services.handler().open(call.whole(), own);
@@ -237,7 +236,7 @@
 	// Whether the call was read whole or not, nothing of it was sent on.
 	private void reject(Rejection rejection) {
 		this.keepAlive = false;
-		this.services.log().write(LogEvent.CALLER_REJECTED, "status", rejection.status(), "reason", rejection.reason());
+		logRejection(rejection);
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(rejection.status()), Unpooled.wrappedBuffer(RejectionAnswer.body(rejection)),
 				RejectionAnswer.headers(rejection), EmptyHttpHeaders.INSTANCE);
@@ -247,6 +246,12 @@
 		closeAfter(response);
 	}
 
+	private void logRejection(Rejection rejection) {
+		this.services.log()
+			.write(LogEvent.CALLER_REJECTED, "requestId", this.incoming.map(IncomingCall::requestId).orElse(""),
+					"status", rejection.status(), "reason", rejection.reason());
+	}
+
 	/**
 	 * Tells whether the connection ends after the present answer.
 	 * @return true if it does
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/IncomingCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/IncomingCall.java
@@ -17,7 +17,7 @@
 
 	private final HttpRequest request;
 
-	private final Optional<CallHead> head;
+	private final CallHead head;
 
 	private final long arrivedAtMillis;
 
@@ -25,8 +25,7 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
-	private IncomingCall(HttpRequest request, Optional<CallHead> head, long arrivedAtMillis,
-			Optional<Rejection> rejection) {
+	private IncomingCall(HttpRequest request, CallHead head, long arrivedAtMillis, Optional<Rejection> rejection) {
 		this.request = request;
 		this.head = head;
 		this.arrivedAtMillis = arrivedAtMillis;
@@ -41,17 +40,19 @@
 	 * @return the call
 	 */
 	static IncomingCall accepted(HttpRequest request, CallHead head, long arrivedAtMillis) {
-		return new IncomingCall(request, Optional.of(head), arrivedAtMillis, Optional.empty());
+		return new IncomingCall(request, head, arrivedAtMillis, Optional.empty());
 	}
 
 	/**
 	 * Begins a call that is answered with a rejection once its end has been read.
 	 * @param request the head with all headers
+	 * @param head what it says
+	 * @param arrivedAtMillis when it arrived
 	 * @param rejection the rejection
 	 * @return the call
 	 */
-	static IncomingCall rejected(HttpRequest request, Rejection rejection) {
-		return new IncomingCall(request, Optional.empty(), 0, Optional.of(rejection));
+	static IncomingCall rejected(HttpRequest request, CallHead head, long arrivedAtMillis, Rejection rejection) {
+		return new IncomingCall(request, head, arrivedAtMillis, Optional.of(rejection));
 	}
 
 	/**
@@ -70,6 +71,10 @@
 		return this.request;
 	}
 
+	String requestId() {
+		return this.head.requestId();
+	}
+
 	Optional<Rejection> rejection() {
 		return this.rejection;
 	}
@@ -79,7 +84,7 @@
 	 * @return the call
 	 */
 	Call whole() {
-		return new Call(this.request, this.head.orElseThrow(), this.body.toByteArray(), this.arrivedAtMillis);
+		return new Call(this.request, this.head, this.body.toByteArray(), this.arrivedAtMillis);
 	}
 
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/RejectionAnswer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/RejectionAnswer.java
@@ -10,7 +10,7 @@
 /**
  * Writes rejections as answers.
  */
-public final class RejectionAnswer {
+final class RejectionAnswer {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -22,7 +22,7 @@
 	 * @param rejection the rejection
 	 * @return its headers
 	 */
-	public static HttpHeaders headers(Rejection rejection) {
+	static HttpHeaders headers(Rejection rejection) {
 		HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 		rejection.retryAfterMillis()
 			.ifPresent((millis) -> headers.set(HttpHeaderNames.RETRY_AFTER,
@@ -35,7 +35,7 @@
 	 * @param rejection the rejection
 	 * @return its text
 	 */
-	public static byte[] body(Rejection rejection) {
+	static byte[] body(Rejection rejection) {
 		return (rejection.reason() + "\n").getBytes(StandardCharsets.UTF_8);
 	}
 
--- /dev/null
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -0,0 +1,156 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.retry.RetryLimits;
+import org.mustardlane.core.route.RequestLimits;
+import org.mustardlane.core.route.RequestSemantics;
+import org.mustardlane.core.route.Route;
+import org.mustardlane.core.route.RouteTable;
+import org.mustardlane.core.route.WeightedPool;
+import org.mustardlane.gateway.front.Call;
+import org.mustardlane.gateway.front.OpenCall;
+import org.mustardlane.gateway.knowledge.KeyedRecord;
+import org.mustardlane.gateway.knowledge.Knowledge;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.GatewayMetrics;
+import org.mustardlane.gateway.report.RateLimit;
+import org.mustardlane.gateway.standin.FakeCaller;
+import org.mustardlane.gateway.wire.CallHead;
+import org.mustardlane.gateway.wire.KnowledgeDecoder;
+import org.mustardlane.gateway.wire.MalformedRecordException;
+
+import static org.awaitility.Awaitility.await;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of calls that arrive before a router knows its routes, with a clock that only the
+ * test moves.
+ */
+public class CallDuringStartTests {
+
+	private final AtomicLong now = new AtomicLong();
+
+	private EventLoop loop;
+
+	private Knowledge knowledge;
+
+	private CallRouter router;
+
+	private FakeCaller caller;
+
+	@BeforeMethod
+	public void open() {
+		this.now.set(0);
+		this.loop = new DefaultEventLoop();
+		this.caller = new FakeCaller();
+		DecisionLog log = new DecisionLog(new RateLimit(100, this.now::get), this.now::get);
+		this.knowledge = new Knowledge(new OneRoute(), log, this.now::get, () -> {
+		});
+		ExchangeServices services = new ExchangeServices(this.loop, this.knowledge, null, null, this.now::get, log,
+				new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> 1, new DomainId("north"),
+				() -> 0.5);
+		this.router = new CallRouter(services, OptionalLong::empty);
+	}
+
+	@AfterMethod
+	public void close() {
+		this.loop.shutdownGracefully();
+	}
+
+	private <T> T onLoop(Callable<T> step) throws InterruptedException, ExecutionException {
+		return this.loop.submit(step).get();
+	}
+
+	private OpenCall call() throws InterruptedException, ExecutionException {
+		CallHead head = new CallHead("r-1", "h.example", "/x/1", Optional.empty(), OptionalLong.of(900),
+				Optional.empty());
+		Call call = new Call(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"), head, new byte[0],
+				this.now.get());
+		return onLoop(() -> this.router.open(call, this.caller));
+	}
+
+	private void learnRoutes() throws InterruptedException, ExecutionException {
+		onLoop(() -> {
+			this.knowledge.takeRoutes(new KeyedRecord("routes", 1, Optional.of(new byte[0])), "log");
+			this.knowledge.listTargets(List.of(), 1);
+			return true;
+		});
+	}
+
+	@Test
+	public void waitingCallIsRoutedOnceTheRoutesAreKnown() throws InterruptedException, ExecutionException {
+		call();
+		assertEquals(onLoop(this.caller::status).intValue(), 0);
+		learnRoutes();
+		await().until(this.caller::isEnded);
+		assertEquals(this.caller.body(), "No target takes the call\n");
+	}
+
+	@Test
+	public void waitingCallIsRefusedWhileItsCallerCanStillComeBackInTime()
+			throws InterruptedException, ExecutionException {
+		call();
+		assertEquals(onLoop(this.caller::status).intValue(), 0);
+		this.now.set(300);
+		await().until(this.caller::isEnded);
+		assertEquals(this.caller.status(), 503);
+		assertEquals(this.caller.header("Retry-After"), "0.150");
+	}
+
+	@Test
+	public void callAfterTheTimeOfTheStartIsRefusedAtOnce() throws InterruptedException, ExecutionException {
+		this.now.set(1000);
+		call();
+		assertEquals(this.caller.status(), 503);
+	}
+
+	@Test
+	public void callWhoseCallerHasGoneIsNotRouted() throws InterruptedException, ExecutionException {
+		OpenCall open = call();
+		onLoop(() -> {
+			open.callerGone();
+			return true;
+		});
+		learnRoutes();
+		assertEquals(onLoop(this.router::openCalls).intValue(), 0);
+		assertTrue(this.caller.body().isEmpty());
+	}
+
+	private static final class OneRoute implements KnowledgeDecoder {
+
+		@Override
+		public Optional<RouteTable> routes(String key, byte[] body) {
+			Route route = new Route("x", "h.example", "/x/", RequestSemantics.IDEMPOTENT, 5000, 200, 0, 0,
+					List.of(new WeightedPool(new PoolId("desk"), 1)), 2, true);
+			return Optional.of(new RouteTable(1, List.of(route), List.of(), Map.of(), false,
+					new RequestLimits(16_384, 100_000, 3000, 15_000)));
+		}
+
+		@Override
+		public TargetEntry target(String key, byte[] body) throws MalformedRecordException {
+			throw new MalformedRecordException("no target is expected");
+		}
+
+	}
+
+}
