Ask other routers for removals until a missing entry proves something

Change: a router goes on asking the others, at the quicker interval, until removals hold, for what has happened since it lost the log; a peer answers only while its own removals hold. A router that was cut off has seen all others fail: while it needs them it tries them although they are to be left alone. Ruled out: a shorter wait, as targets that live are back only after two seconds; the planned-leaving state, as this target never had one.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Knowledge.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -61,6 +62,8 @@
 
 	private boolean logLost;
 
+	private OptionalLong believedOffset = OptionalLong.empty();
+
 	/**
 	 * Creates knowledge of nothing.
 	 * @param decoder decodes records
@@ -174,7 +177,7 @@
 	 * @return the records in the order of the log
 	 */
 	public List<KeyedRecord> targetRecordsAfter(long offset) {
-		if (this.logLost || !this.targets.removalsHold(this.clock.nowMillis())) {
+		if (!removalsHold()) {
 			return List.of();
 		}
 		return this.targetRecords.values()
@@ -184,11 +187,7 @@
 			.toList();
 	}
 
-	/**
-	 * Returns the highest offset of a target's record.
-	 * @return the offset, -1 where no target is known
-	 */
-	public long targetsOffset() {
+	private long targetsOffset() {
 		return this.targetRecords.values().stream().mapToLong(KeyedRecord::offset).max().orElse(-1);
 	}
 
@@ -197,6 +196,9 @@
 	 * @param lost whether it can not
 	 */
 	public void setLogLost(boolean lost) {
+		if (lost && this.believedOffset.isEmpty()) {
+			this.believedOffset = OptionalLong.of(targetsOffset());
+		}
 		this.logLost = lost;
 		if (lost) {
 			this.targets.logLost();
@@ -207,11 +209,27 @@
 	}
 
 	/**
-	 * Tells whether the log can not be read.
-	 * @return true while reads fail
+	 * Tells whether another router may know more of the targets: this one does not know
+	 * them, can not read the log, or can not tell yet whether a missing entry proves that
+	 * its target is gone.
+	 * @return true if it should ask
 	 */
-	public boolean isLogLost() {
-		return this.logLost;
+	public boolean needsTargets() {
+		return !isComplete() || !removalsHold();
+	}
+
+	private boolean removalsHold() {
+		return !this.logLost && this.targets.removalsHold(this.clock.nowMillis());
+	}
+
+	/**
+	 * Returns the offset after which other routers are to tell of targets. While removals
+	 * do not hold, that is where the log was lost: what has been listed since says
+	 * nothing of targets that went meanwhile.
+	 * @return the offset, -1 where no target is known
+	 */
+	public long askAfterOffset() {
+		return removalsHold() ? targetsOffset() : this.believedOffset.orElse(targetsOffset());
 	}
 
 	private List<DirectoryRecord> decodeTargets(List<KeyedRecord> rows) {
@@ -242,6 +260,9 @@
 	 * Removes targets that have been missing for long enough.
 	 */
 	public void review() {
+		if (removalsHold()) {
+			this.believedOffset = OptionalLong.empty();
+		}
 		for (TargetId gone : this.targets.review(this.clock.nowMillis())) {
 			this.log.write(LogEvent.TARGET_CHANGED, "target", gone, "state", "NONE", "reason", "missing");
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerBook.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.router.peer.PeerAddress;
@@ -82,14 +83,14 @@
 	 * Picks a router to talk to.
 	 * @param random draws from 0 to below 1
 	 * @param nowMillis the time
+	 * @param urgent whether to try routers that failed lately where no other is left: a
+	 * router that was cut off has seen all others fail
 	 * @return an address, or empty where none may be tried now
 	 */
-	Optional<PeerAddress> pick(DoubleSupplier random, long nowMillis) {
-		List<PeerAddress> due = new ArrayList<>();
-		for (Peer peer : this.peers.values()) {
-			if (nowMillis >= peer.notBeforeMillis) {
-				due.add(peer.address);
-			}
+	Optional<PeerAddress> pick(DoubleSupplier random, long nowMillis, boolean urgent) {
+		List<PeerAddress> due = addresses((peer) -> nowMillis >= peer.notBeforeMillis);
+		if (due.isEmpty() && urgent) {
+			due.addAll(addresses((peer) -> true));
 		}
 		if (this.peers.isEmpty()) {
 			due.addAll(this.seeds);
@@ -97,6 +98,12 @@
 		return due.isEmpty() ? Optional.empty() : Optional.of(due.get((int) (random.getAsDouble() * due.size())));
 	}
 
+	private List<PeerAddress> addresses(Predicate<Peer> taken) {
+		List<PeerAddress> addresses = new ArrayList<>();
+		this.peers.values().stream().filter(taken).forEach((peer) -> addresses.add(peer.address));
+		return addresses;
+	}
+
 	/**
 	 * Counts the routers among which limits of the fleet are shared, this one included.
 	 * One that does not answer keeps its share: beyond a cut it may use it all the same.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
@@ -38,9 +38,9 @@
 	private static final int INTERVAL_MILLIS = 1000;
 
 	/**
-	 * While the log can not be read, peers are the only source.
+	 * While this router can not rely on the log, peers are the only source.
 	 */
-	private static final int LOST_INTERVAL_MILLIS = 400;
+	private static final int URGENT_INTERVAL_MILLIS = 400;
 
 	private static final int CALL_TIMEOUT_MILLIS = 700;
 
@@ -107,9 +107,9 @@
 
 	private void tick() {
 		long now = this.clock.nowMillis();
-		this.book.pick(ThreadLocalRandom.current()::nextDouble, now).ifPresent((peer) -> call(peer, digest()));
-		boolean alone = this.knowledge.isLogLost() || !this.knowledge.isComplete();
-		int interval = alone ? LOST_INTERVAL_MILLIS : INTERVAL_MILLIS;
+		boolean urgent = this.knowledge.needsTargets();
+		this.book.pick(ThreadLocalRandom.current()::nextDouble, now, urgent).ifPresent((peer) -> call(peer, digest()));
+		int interval = urgent ? URGENT_INTERVAL_MILLIS : INTERVAL_MILLIS;
 		// Routers that started together must not call together.
 		int jitter = ThreadLocalRandom.current().nextInt(interval / 4);
 		this.loop.schedule(this::tick, interval - jitter, TimeUnit.MILLISECONDS);
@@ -165,8 +165,8 @@
 		KnowledgeDigest.Builder digest = KnowledgeDigest.newBuilder()
 			.setSender(this.self)
 			.setRoutesVersion(this.knowledge.routesVersion())
-			.setTargetsOffset(this.knowledge.targetsOffset())
-			.setLogLost(this.knowledge.isLogLost() || !this.knowledge.isComplete());
+			.setTargetsOffset(this.knowledge.askAfterOffset())
+			.setLogLost(this.knowledge.needsTargets());
 		DigestCodec.addLoads(digest, this.loads, this.clock.nowMillis());
 		return digest.build();
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerBookTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerBookTests.java
@@ -27,7 +27,7 @@
 
 	@Test
 	public void seedsAreTriedWhileNoRouterIsKnown() {
-		assertEquals(book().pick(() -> 0, 0), Optional.of(SEED));
+		assertEquals(book().pick(() -> 0, 0, false), Optional.of(SEED));
 	}
 
 	@Test
@@ -40,8 +40,16 @@
 		PeerBook known = book();
 		assertTrue(known.found(new VmId("one"), ONE));
 		known.failed(ONE, 0);
-		assertEquals(known.pick(() -> 0, 500), Optional.empty());
-		assertEquals(known.pick(() -> 0, 1000), Optional.of(ONE));
+		assertEquals(known.pick(() -> 0, 500, false), Optional.empty());
+		assertEquals(known.pick(() -> 0, 1000, false), Optional.of(ONE));
+	}
+
+	@Test
+	public void routerThatWasCutOffTriesOthersAgainAtOnce() {
+		PeerBook known = book();
+		known.found(new VmId("one"), ONE);
+		known.failed(ONE, 0);
+		assertEquals(known.pick(() -> 0, 500, true), Optional.of(ONE));
 	}
 
 	@Test
@@ -60,7 +68,7 @@
 		known.found(new VmId("one"), ONE);
 		PeerAddress moved = new PeerAddress("10.0.0.2", 1);
 		assertTrue(known.found(new VmId("one"), moved));
-		assertEquals(known.pick(() -> 0, 0), Optional.of(moved));
+		assertEquals(known.pick(() -> 0, 0, false), Optional.of(moved));
 	}
 
 }
