Go on with a broken answer only where its rest can follow

Found by reading: a silent attempt was cancelled before the budget of repeats was asked, so that a denied repeat lost a stream that might have gone on; a plain answer above 256 KB that broke off after it had begun was run again although nothing could follow; events of a resumed stream were passed on whatever their ids, so that an engine that starts anew would have reached the caller twice. Change: the repeat is reserved first, else the attempt is watched on; an answer that has begun goes on elsewhere only as an event stream with an id; an id that does not follow ends the attempt, and nothing of its part is passed on. Tests: StreamTests (with the stream tests of CallPathTests), EventBufferTests.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/AnswerSink.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/AnswerSink.java
@@ -54,16 +54,33 @@
 	/**
 	 * Takes a part of the body.
 	 * @param part the bytes, not kept
+	 * @return false where it holds an event that does not follow those passed on; nothing
+	 * of the part is passed on then
 	 */
-	void part(ByteBuf part) {
+	boolean part(ByteBuf part) {
 		if (isEventStream()) {
-			this.events.append(part).ifPresent(this::pass);
-			return;
+			return events(part);
 		}
 		if (this.begun) {
 			pass(part.copy());
-			return;
 		}
+		else {
+			hold(part);
+		}
+		return true;
+	}
+
+	private boolean events(ByteBuf part) {
+		Optional<ByteBuf> whole = this.events.append(part);
+		if (this.events.isOutOfOrder()) {
+			whole.ifPresent(ByteBuf::release);
+			return false;
+		}
+		whole.ifPresent(this::pass);
+		return true;
+	}
+
+	private void hold(ByteBuf part) {
 		this.held.writeBytes(ByteBufUtil.getBytes(part));
 		if (this.held.size() > HELD_BYTES) {
 			pass(Unpooled.wrappedBuffer(this.held.toByteArray()));
@@ -117,6 +134,14 @@
 		return this.begun;
 	}
 
+	/**
+	 * Tells whether another target can go on where this answer broke off.
+	 * @return true while nothing was passed on, or where the last event has an id
+	 */
+	boolean canContinue() {
+		return !this.begun || (isEventStream() && lastEventId().isPresent());
+	}
+
 	/**
 	 * Returns the id of the last event that was passed on.
 	 * @return the id, or empty where none was
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -109,10 +109,14 @@
 		if (left > 0) {
 			watch(left);
 		}
-		else if (this.exchange.mayReplaceAttempt()) {
-			this.call.ifPresent(TargetCall::cancel);
+		else if (this.exchange.tryReserveRepeat(this.answering)) {
 			this.load.failed(this.services.nowMillis());
-			fail(AttemptResult.BROKEN, "silent for " + silenceLimitMillis() + " ms");
+			boolean counted = this.answering;
+			cancel();
+			this.exchange.repeat(counted, "silent for " + silenceLimitMillis() + " ms");
+		}
+		else {
+			watch(silenceLimitMillis());
 		}
 	}
 
@@ -167,7 +171,10 @@
 	@Override
 	public void partReceived(ByteBuf part) {
 		this.lastHeardMillis = this.services.nowMillis();
-		this.exchange.sink().part(part);
+		if (!this.exchange.sink().part(part)) {
+			this.call.ifPresent(TargetCall::cancel);
+			fail(AttemptResult.BROKEN, "the ids of the events do not increase");
+		}
 	}
 
 	@Override
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventBuffer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventBuffer.java
@@ -20,6 +20,8 @@
 
 	private Optional<String> lastEventId = Optional.empty();
 
+	private boolean outOfOrder;
+
 	/**
 	 * Takes bytes and gives out the events that are whole.
 	 * @param part the bytes, not kept
@@ -33,7 +35,11 @@
 			return Optional.empty();
 		}
 		ByteBuf whole = all.readRetainedSlice(end);
+		Optional<String> before = this.lastEventId;
 		readIds(whole);
+		if (this.outOfOrder) {
+			this.lastEventId = before;
+		}
 		this.pending = all.isReadable() ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
 		all.release();
 		return Optional.of(whole);
@@ -89,7 +95,33 @@
 		}
 		String value = events.toString(events.readerIndex() + start + ID_FIELD.length, end - start - ID_FIELD.length,
 				StandardCharsets.UTF_8);
-		this.lastEventId = Optional.of(value.strip());
+		takeId(value.strip());
+	}
+
+	private void takeId(String id) {
+		if (this.lastEventId.filter((last) -> !follows(last, id)).isPresent()) {
+			this.outOfOrder = true;
+			return;
+		}
+		this.lastEventId = Optional.of(id);
+	}
+
+	// Ids that are no numbers tell nothing of their order.
+	private static boolean follows(String last, String next) {
+		try {
+			return Long.parseLong(next) > Long.parseLong(last);
+		}
+		catch (NumberFormatException ex) {
+			return true;
+		}
+	}
+
+	/**
+	 * Tells whether an event came whose id does not follow the one before.
+	 * @return true from then on until the rest is dropped
+	 */
+	boolean isOutOfOrder() {
+		return this.outOfOrder;
 	}
 
 	/**
@@ -109,9 +141,10 @@
 	}
 
 	/**
-	 * Drops a part of an event.
+	 * Drops a part of an event, and forgets that an id did not follow.
 	 */
 	void dropPartialEvent() {
+		this.outOfOrder = false;
 		this.pending.release();
 		this.pending = Unpooled.EMPTY_BUFFER;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -178,11 +178,7 @@
 		if (mayHaveRun && !counted) {
 			this.runs++;
 		}
-		NextStep step = RetryRules.after(state(), result);
-		if (step == NextStep.RETRY_WITHIN_BUDGET
-				&& !(hasOtherTarget() && this.services.tryRepeat(this.routed.pool()))) {
-			step = (result == AttemptResult.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
-		}
+		NextStep step = nextStep(result);
 		logAttempt(result, step, detail);
 		this.services.metrics().attemptFailed(result, step);
 		if (step == NextStep.RELAY) {
@@ -193,12 +189,31 @@
 			giveUp(detail);
 		}
 		else {
-			this.sink.dropPartial();
-			dispatch();
+			dispatchAgain();
 		}
 		return false;
 	}
 
+	private NextStep nextStep(AttemptResult result) {
+		NextStep step = RetryRules.after(state(), result);
+		if (step == NextStep.GIVE_UP || step == NextStep.RELAY) {
+			return step;
+		}
+		if (!this.sink.canContinue()) {
+			return NextStep.GIVE_UP;
+		}
+		if (step == NextStep.RETRY_WITHIN_BUDGET
+				&& !(hasOtherTarget() && this.services.tryRepeat(this.routed.pool()))) {
+			return (result == AttemptResult.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
+		}
+		return step;
+	}
+
+	private void dispatchAgain() {
+		this.sink.dropPartial();
+		dispatch();
+	}
+
 	private void logAttempt(AttemptResult result, NextStep step, String detail) {
 		this.services.log()
 			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routed.pool(), "target",
@@ -207,12 +222,31 @@
 	}
 
 	/**
-	 * Asks whether the present attempt may be replaced by another one at another target.
+	 * Asks whether the present attempt, which has not ended, may be replaced by one at
+	 * another target.
+	 * @param counted whether it was counted as one that may have run
 	 * @return whether it may; if so, the repeat is taken from the budget
 	 */
-	boolean mayReplaceAttempt() {
-		CallState ran = new CallState(route().semantics(), this.runs + 1, route().maxAttempts(), this.sends);
-		return hasOtherTarget() && RetryRules.mayRunAgain(ran);
+	boolean tryReserveRepeat(boolean counted) {
+		CallState ran = new CallState(route().semantics(), counted ? this.runs : this.runs + 1, route().maxAttempts(),
+				this.sends);
+		return hasOtherTarget() && this.sink.canContinue() && RetryRules.mayRunAgain(ran)
+				&& this.services.tryRepeat(this.routed.pool());
+	}
+
+	/**
+	 * Sends the call to another target, for which a repeat was reserved.
+	 * @param counted whether the former attempt was counted as one that may have run
+	 * @param detail what was seen of it
+	 */
+	void repeat(boolean counted, String detail) {
+		if (!counted) {
+			this.runs++;
+		}
+		logAttempt(AttemptResult.BROKEN, NextStep.RETRY_WITHIN_BUDGET, detail);
+		this.services.metrics().attemptFailed(AttemptResult.BROKEN, NextStep.RETRY_WITHIN_BUDGET);
+		this.current = Optional.empty();
+		dispatchAgain();
 	}
 
 	private boolean hasOtherTarget() {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/EventBufferTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/EventBufferTests.java
@@ -55,4 +55,24 @@
 		assertEquals(events.lastEventId(), Optional.of("2"));
 	}
 
+	@Test
+	public void idThatDoesNotFollowIsNoticedAndTheLastGoodOneIsKept() {
+		EventBuffer events = new EventBuffer();
+		events.append(bytes("id: 4\ndata: a\n\n"));
+		assertFalse(events.isOutOfOrder());
+		events.append(bytes("id: 5\ndata: b\n\nid: 5\ndata: b\n\n"));
+		assertTrue(events.isOutOfOrder());
+		assertEquals(events.lastEventId(), Optional.of("4"));
+		events.dropPartialEvent();
+		assertFalse(events.isOutOfOrder());
+	}
+
+	@Test
+	public void idsThatAreNoNumbersAreNotCompared() {
+		EventBuffer events = new EventBuffer();
+		events.append(bytes("id: b\ndata: a\n\nid: a\ndata: b\n\n"));
+		assertFalse(events.isOutOfOrder());
+		assertEquals(events.lastEventId(), Optional.of("a"));
+	}
+
 }
