--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -208,7 +208,7 @@
 		this.metrics.gaugeRoutesVersion(this.knowledge::routesVersion);
 		this.metrics.gaugeReadyTargets(() -> this.knowledge.targets().readyCount());
 		this.loop.execute(() -> this.log.write(LogEvent.STARTED, "vm", this.settings.vm(), "domain",
-				this.settings.domain(), "callers", this.settings.callerAddress()));
+				this.settings.domain(), "callers", this.settings.callerAddress().getHostString() + ":" + callerPort()));
 	}
 
 	private void awaitKnowledge() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerExchange.java
@@ -1,6 +1,6 @@
 package org.mustardlane.gateway.peer;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,7 +45,7 @@
 	private static final int CALL_TIMEOUT_MILLIS = 700;
 
 	/**
-	 * Connections that are kept; others are closed when they have been used.
+	 * Connections that are kept; beyond that the least recently used one is closed.
 	 */
 	private static final int MOST_CHANNELS = 32;
 
@@ -67,7 +67,7 @@
 
 	private final DecisionLog log;
 
-	private final Map<PeerAddress, ManagedChannel> channels = new HashMap<>();
+	private final Map<PeerAddress, ManagedChannel> channels = new LinkedHashMap<>(16, 0.75f, true);
 
 	/**
 	 * Creates an exchange that does not call yet.
@@ -136,11 +136,12 @@
 	}
 
 	private ManagedChannel channel(PeerAddress peer) {
-		if (this.channels.size() >= MOST_CHANNELS && !this.channels.containsKey(peer)) {
-			this.channels.values().forEach(ManagedChannel::shutdown);
-			this.channels.clear();
+		ManagedChannel used = this.channels.computeIfAbsent(peer, this.dialer::dial);
+		if (this.channels.size() > MOST_CHANNELS) {
+			PeerAddress leastRecentlyUsed = this.channels.keySet().iterator().next();
+			this.channels.remove(leastRecentlyUsed).shutdown();
 		}
-		return this.channels.computeIfAbsent(peer, this.dialer::dial);
+		return used;
 	}
 
 	private void answered(PeerAddress peer, KnowledgeDigest answer) {
