Serve callers for a second before the log and other routers are set up

Cause: after a loss of power the first calls compete with the start of the logging library and of gRPC for half a core, and their own path is loaded from jars: the archive was made by a run without calls. Change: once routes and targets are known, a second passes before the rest of the start (a setting of the daemon).

Addresses are now listened on before the event loop starts to read the store, so that the two threads read less often at once. Not shown to help.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -193,12 +193,14 @@
 	 * @throws IOException if an address can not be used
 	 */
 	public void start() throws IOException {
-		this.loop.execute(this.routesFollower::start);
-		this.loop.execute(this.targetsFollower::start);
 		this.front.start(this.settings.callerAddress());
 		serveHealth(this.settings.healthAddress());
+		this.loop.execute(this.routesFollower::start);
+		this.loop.execute(this.targetsFollower::start);
 		// After a loss of power callers wait: what serves them comes first.
-		awaitKnowledge();
+		if (awaitKnowledge()) {
+			serveAlone();
+		}
 		openLog();
 		this.loop.execute(this.routersFollower::start);
 		this.loop.scheduleAtFixedRate(this::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
@@ -211,9 +213,19 @@
 				this.settings.domain(), "callers", this.settings.callerAddress().getHostString() + ":" + callerPort()));
 	}
 
-	private void awaitKnowledge() {
+	private boolean awaitKnowledge() {
+		try {
+			return this.known.await(KNOWLEDGE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	private void serveAlone() {
 		try {
-			this.known.await(KNOWLEDGE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+			this.drained.await(this.settings.serveFirstMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
@@ -19,6 +19,8 @@
  * @param peerAddress where other routers are served
  * @param seeds other routers to ask while the platform's log names none; may be stale
  * @param metricsAddress where metrics are read
+ * @param serveFirstMillis how long callers are served after the start before the log and
+ * other routers are set up
  * @param drainMillis how long a planned stop may take
  * @param changeBoundMillis within which a change of the routes must be in force
  * @param leavingBoundMillis within which a leaving target must get no new work
@@ -26,8 +28,8 @@
  */
 public record GatewaySettings(VmId vm, DomainId domain, InetSocketAddress callerAddress,
 		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress, List<PeerAddress> seeds,
-		InetSocketAddress metricsAddress, long drainMillis, int changeBoundMillis, int leavingBoundMillis,
-		RetryLimits retryLimits) {
+		InetSocketAddress metricsAddress, long serveFirstMillis, long drainMillis, int changeBoundMillis,
+		int leavingBoundMillis, RetryLimits retryLimits) {
 
 	/**
 	 * Copies the seeds.
