--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -197,13 +197,13 @@
 		serveHealth(this.settings.healthAddress());
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
+		this.loop.scheduleAtFixedRate(this::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
 		// After a loss of power callers wait: what serves them comes first.
 		if (awaitKnowledge()) {
 			serveAlone();
 		}
 		openLog();
 		this.loop.execute(this.routersFollower::start);
-		this.loop.scheduleAtFixedRate(this::review, REVIEW_MILLIS, REVIEW_MILLIS, TimeUnit.MILLISECONDS);
 		startPeers();
 		serveHealth(this.settings.metricsAddress());
 		this.metrics.gaugeOpenCalls(this.calls::openCalls);
