--- /dev/null
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/ModelRouter.java
@@ -0,0 +1,171 @@
+package org.mustardlane.proof.deployment;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.placement.LoadTable;
+import org.mustardlane.core.placement.PlacementPolicy;
+import org.mustardlane.core.placement.PlacementRequest;
+import org.mustardlane.core.placement.PrefixHolders;
+
+/**
+ * A router that places calls with the decisions of the product.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class ModelRouter {
+
+	private static final int MOST_SENDS = 4;
+
+	/**
+	 * A connection to an engine beyond a cut is given up after this.
+	 */
+	private static final double CONNECT_TIMEOUT_MILLIS = 150;
+
+	private static final double NEAR_MILLIS = 1;
+
+	private static final double FAR_MILLIS = 2.4;
+
+	/**
+	 * Loads older than this are not passed on.
+	 */
+	private static final long MOST_SAMPLE_AGE_MILLIS = 2000;
+
+	private final DomainId domain;
+
+	private final PlacementPolicy policy;
+
+	private final boolean copies;
+
+	private final Deployment deployment;
+
+	private final LoadTable loads = new LoadTable();
+
+	private final PrefixHolders holders = new PrefixHolders();
+
+	ModelRouter(DomainId domain, PlacementPolicy policy, boolean copies, Deployment deployment) {
+		this.domain = domain;
+		this.policy = policy;
+		this.copies = copies;
+		this.deployment = deployment;
+	}
+
+	DomainId domain() {
+		return this.domain;
+	}
+
+	/**
+	 * Sends a call to an engine.
+	 * @param call the call
+	 */
+	void place(ModelCall call) {
+		send(call, new HashSet<>());
+	}
+
+	private void send(ModelCall call, Set<TargetId> tried) {
+		long now = (long) this.deployment.events().nowMillis();
+		List<TargetEntry> known = this.deployment.knownEngines();
+		List<TargetEntry> candidates = known.stream().filter((engine) -> !tried.contains(engine.id())).toList();
+		Optional<TargetEntry> target = (tried.size() < MOST_SENDS) ? this.policy
+			.choose(new PlacementRequest(candidates, Optional.of(call.prefix()), this.domain, now), this.loads)
+				: Optional.empty();
+		if (target.isEmpty()) {
+			this.deployment.refused();
+			return;
+		}
+		tried.add(target.get().id());
+		if (!this.deployment.reaches(this.domain, target.get().domain())) {
+			this.deployment.events().after(CONNECT_TIMEOUT_MILLIS, () -> unreachable(call, tried, target.get()));
+			return;
+		}
+		Optional<TargetEntry> source = this.copies ? this.holders.source(call.prefix(), target.get(), known, now)
+				: Optional.empty();
+		double linkMillis = target.get().domain().equals(this.domain) ? NEAR_MILLIS : FAR_MILLIS;
+		this.loads.of(target.get().id()).started();
+		this.deployment.events().after(linkMillis, () -> arrive(call, tried, target.get(), source));
+	}
+
+	private void unreachable(ModelCall call, Set<TargetId> tried, TargetEntry target) {
+		long now = (long) this.deployment.events().nowMillis();
+		this.loads.domains().failed(target.domain(), target.id(), now);
+		this.loads.of(target.id()).failed(now);
+		send(call, tried);
+	}
+
+	private void arrive(ModelCall call, Set<TargetId> tried, TargetEntry target, Optional<TargetEntry> source) {
+		ModelEngine engine = this.deployment.engine(target.id());
+		this.deployment.noteArrival(engine);
+		boolean taken = engine.accept(call, source.map((other) -> this.deployment.engine(other.id())),
+				new Progress(call, engine));
+		if (taken) {
+			return;
+		}
+		long now = (long) this.deployment.events().nowMillis();
+		this.loads.of(target.id()).ended();
+		if (engine.isUp()) {
+			this.loads.of(target.id()).refused(now);
+		}
+		else {
+			this.loads.of(target.id()).failed(now);
+		}
+		send(call, tried);
+	}
+
+	/**
+	 * Takes loads that another router has seen lately.
+	 * @param other the other router
+	 */
+	void learnLoads(ModelRouter other) {
+		double oldest = this.deployment.events().nowMillis() - MOST_SAMPLE_AGE_MILLIS;
+		Map.copyOf(other.loads.all()).forEach((target, load) -> {
+			if (load.sample().seenAtMillis() >= oldest) {
+				this.loads.of(target).stated(load.sample());
+			}
+		});
+	}
+
+	private final class Progress implements ModelRun.RunListener {
+
+		private final ModelCall call;
+
+		private final ModelEngine engine;
+
+		Progress(ModelCall call, ModelEngine engine) {
+			this.call = call;
+			this.engine = engine;
+		}
+
+		@Override
+		public void begun() {
+			long now = (long) ModelRouter.this.deployment.events().nowMillis();
+			ModelRouter.this.loads.of(this.engine.entry().id()).stated(this.engine.sample());
+			ModelRouter.this.loads.of(this.engine.entry().id()).answered(false);
+			ModelRouter.this.loads.domains().reached(this.engine.entry().domain());
+			ModelRouter.this.holders.answered(this.call.prefix(), this.engine.entry(), now);
+			ModelRouter.this.deployment.begun(this.call);
+		}
+
+		@Override
+		public void ended() {
+			ModelRouter.this.loads.of(this.engine.entry().id()).ended();
+		}
+
+		@Override
+		public void broken() {
+			ModelRouter.this.holders.lost(this.engine.entry().id());
+			ModelRouter.this.loads.of(this.engine.entry().id()).ended();
+			ModelRouter.this.loads.of(this.engine.entry().id())
+				.failed((long) ModelRouter.this.deployment.events().nowMillis());
+			ModelRouter.this.deployment.brokenOff();
+		}
+
+	}
+
+}
