--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.exchange.CallRouter;
 import org.mustardlane.gateway.exchange.ExchangeContext;
+import org.mustardlane.gateway.exchange.LoopLag;
 import org.mustardlane.gateway.front.FrontServer;
 import org.mustardlane.gateway.front.FrontSettings;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
@@ -112,6 +113,8 @@
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
+	private final LoopLag loopLag = new LoopLag(MAINTENANCE_INTERVAL_MILLIS, this.clock.nowMillis());
+
 	private final RoutingState routingState;
 
 	private final TargetClient targetClient;
@@ -154,7 +157,7 @@
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
-				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::routerCount,
+				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::routerCount, this.loopLag,
 				settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this::shutdownDeadlineMillis);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
@@ -203,8 +206,8 @@
 		startHealthServer(this.settings.healthAddress());
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
-		this.loop.scheduleAtFixedRate(this::runMaintenance, MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::runMaintenanceSafely, MAINTENANCE_INTERVAL_MILLIS,
+				MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		// Callers are waiting after a power loss, so everything that serves them starts
 		// first.
 		if (awaitRoutingState()) {
@@ -275,7 +278,18 @@
 		});
 	}
 
+	// An exception would end the periodic task.
+	private void runMaintenanceSafely() {
+		try {
+			runMaintenance();
+		}
+		catch (RuntimeException ex) {
+			this.log.warn(LogEvent.UNEXPECTED_ERROR, "task", "maintenance", "reason", ex);
+		}
+	}
+
 	private void runMaintenance() {
+		this.loopLag.tick(this.clock.nowMillis());
 		this.routingState.expireTargets();
 		this.context.loads().retain(this.routingState.targets().targetIds());
 		this.targetClient.closeExpired();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.placement.LoadSample;
@@ -14,6 +14,7 @@
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.target.CallFailure;
 import org.mustardlane.gateway.target.CallListener;
+import org.mustardlane.gateway.target.RequestSource;
 import org.mustardlane.gateway.target.TargetCall;
 import org.mustardlane.gateway.wire.ResponseHead;
 
@@ -68,17 +69,18 @@
 	/**
 	 * Sends the call to the target.
 	 * @param requestId id of the call
-	 * @param head head of the request
+	 * @param method method of the request
+	 * @param requestSource creates the head of the request when it is sent
 	 * @param body body of the request
 	 */
-	void send(String requestId, HttpRequest head, byte[] body) {
+	void send(String requestId, HttpMethod method, RequestSource requestSource, byte[] body) {
 		this.load.requestStarted();
 		this.lastReceivedMillis = this.context.nowMillis();
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText());
 		TargetCall targetCall = this.context.client()
-			.send(this.target, requestId, this.exchange.route().semantics(), head, body, this);
+			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
 		if (this.ended) {
 			return;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -19,6 +19,7 @@
 import org.mustardlane.core.retry.RetryRules;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.Route;
+import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
@@ -37,6 +38,8 @@
  */
 final class Exchange implements OpenCall {
 
+	private static final int LAG_DELAY_MILLIS = 2;
+
 	private final ExchangeContext context;
 
 	private final RoutedCall routedCall;
@@ -70,9 +73,21 @@
 	}
 
 	/**
-	 * Sends the call to the first target.
+	 * Sends the call to the first target. If the event loop lags, it first reads from its
+	 * sockets once more: the caller may have disconnected long ago.
 	 */
 	void start() {
+		if (this.context.isLoopLagging()) {
+			this.context.loop().schedule(this::startNow, LAG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		startNow();
+	}
+
+	private void startNow() {
+		if (this.ended) {
+			return;
+		}
 		long remainingMillis = remainingMillis();
 		if (remainingMillis <= 0) {
 			refuseCall("No time is left", CallOutcome.EXPIRED);
@@ -113,14 +128,21 @@
 		this.sendCount++;
 		this.triedTargets.add(target.id());
 		this.lastTargetId = target.id().value();
-		HttpRequest head = this.context.dialect()
-			.createTargetRequest(this.routedCall.call().request(),
-					new Dispatch(target.id(), Math.max(1, remainingMillis()),
-							this.routedCall.organisation().map(Organisation::id), this.responseSink.lastEventId(),
-							findCopySource(target)));
+		Optional<TargetEntry> copySource = findCopySource(target);
 		Attempt attempt = new Attempt(this.context, this, target);
 		this.currentAttempt = Optional.of(attempt);
-		attempt.send(this.requestId(), head, this.routedCall.call().body());
+		Call call = this.routedCall.call();
+		attempt.send(requestId(), call.request().method(), () -> createRequest(target, copySource), call.body());
+	}
+
+	private Optional<HttpRequest> createRequest(TargetEntry target, Optional<TargetEntry> copySource) {
+		long remainingMillis = remainingMillis();
+		if (remainingMillis <= 0) {
+			return Optional.empty();
+		}
+		Dispatch dispatch = new Dispatch(target.id(), remainingMillis,
+				this.routedCall.organisation().map(Organisation::id), this.responseSink.lastEventId(), copySource);
+		return Optional.of(this.context.dialect().createTargetRequest(this.routedCall.call().request(), dispatch));
 	}
 
 	private Optional<TargetEntry> findCopySource(TargetEntry target) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -60,6 +60,8 @@
 
 	private final PlacementPolicy placementPolicy;
 
+	private final LoopLag loopLag;
+
 	private final Map<PoolId, RetryBudget> retryBudgets = new HashMap<>();
 
 	/**
@@ -73,12 +75,13 @@
 	 * @param metrics metrics of calls and attempts
 	 * @param retryLimits supplies the limits of the retries to one pool
 	 * @param routerCount supplies the number of routers that share the limits
+	 * @param loopLag detects that the event loop lags
 	 * @param domain failure domain of this router
 	 * @param random supplies random numbers from 0 (inclusive) to 1 (exclusive)
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			IntSupplier routerCount, DomainId domain, DoubleSupplier random) {
+			IntSupplier routerCount, LoopLag loopLag, DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
 		this.dialect = dialect;
@@ -88,6 +91,7 @@
 		this.metrics = metrics;
 		this.retryLimits = retryLimits;
 		this.routerCount = routerCount;
+		this.loopLag = loopLag;
 		this.domain = domain;
 		this.random = random;
 		this.placementPolicy = new PrefixPolicy(new LeastLoadedPolicy(random));
@@ -135,6 +139,10 @@
 		return this.clock.nowMillis();
 	}
 
+	boolean isLoopLagging() {
+		return this.loopLag.isLagging(nowMillis());
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
@@ -1,5 +1,6 @@
 package org.mustardlane.gateway.front;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -387,6 +388,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		if (!(cause instanceof IOException)) {
+			this.context.log().warn(LogEvent.UNEXPECTED_ERROR, "task", "caller", "reason", cause);
+		}
 		ctx.close();
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -95,9 +95,8 @@
 			Optional<RouteTable> decodedRoutes = this.decoder.decodeRoutes(logRecord.key(), logRecord.body().get());
 			decodedRoutes.ifPresent((table) -> activateRoutes(table, logRecord, source));
 		}
-		catch (MalformedRecordException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason",
-					ex.getMessage());
+		catch (MalformedRecordException | RuntimeException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
 		}
 	}
 
@@ -257,9 +256,8 @@
 		try {
 			return Optional.of(this.decoder.decodeTarget(logRecord.key(), logRecord.body().get()));
 		}
-		catch (MalformedRecordException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason",
-					ex.getMessage());
+		catch (MalformedRecordException | RuntimeException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
 			return Optional.empty();
 		}
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -129,11 +129,21 @@
 				handleFailure(String.valueOf(failure.getMessage()));
 			}
 			else {
-				onSuccess.accept(value);
+				handleSafely(value, onSuccess);
 			}
 		}));
 	}
 
+	// Without this, an unexpected exception would end the chain of reads.
+	private <T> void handleSafely(T value, Consumer<T> onSuccess) {
+		try {
+			onSuccess.accept(value);
+		}
+		catch (RuntimeException ex) {
+			handleFailure("unexpected exception: " + ex);
+		}
+	}
+
 	private void handleFailure(String reason) {
 		if (!this.unavailable) {
 			this.unavailable = true;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -110,8 +110,14 @@
 	private void runRound() {
 		long nowMillis = this.clock.nowMillis();
 		boolean isUrgent = this.routingState.needsPeerRecords();
-		this.registry.pickPeer(ThreadLocalRandom.current()::nextDouble, nowMillis, isUrgent)
-			.ifPresent((peer) -> sendDigest(peer, createDigest()));
+		try {
+			this.registry.pickPeer(ThreadLocalRandom.current()::nextDouble, nowMillis, isUrgent)
+				.ifPresent((peer) -> sendDigest(peer, createDigest()));
+		}
+		catch (RuntimeException ex) {
+			// Without this, an unexpected exception would end the chain of rounds.
+			this.log.warn(LogEvent.UNEXPECTED_ERROR, "task", "gossip", "reason", ex);
+		}
 		int intervalMillis = isUrgent ? URGENT_INTERVAL_MILLIS : INTERVAL_MILLIS;
 		// Jitter, so that routers that started together do not send their digests at the
 		// same time.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -90,6 +90,12 @@
 	 */
 	SETTINGS_REJECTED("settings-rejected"),
 
+	/**
+	 * A handler or a task has thrown an unexpected exception; it ended only this handler
+	 * or this run of the task.
+	 */
+	UNEXPECTED_ERROR("unexpected-error"),
+
 	/**
 	 * Log lines from the start of the process were dropped.
 	 */
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetCall.java
@@ -1,11 +1,13 @@
 package org.mustardlane.gateway.target;
 
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -41,7 +43,9 @@
 
 	private final String requestId;
 
-	private final HttpRequest head;
+	private final HttpMethod method;
+
+	private final RequestSource requestSource;
 
 	private final byte[] body;
 
@@ -70,16 +74,18 @@
 	/**
 	 * Creates a call that is not sent yet.
 	 * @param requestId id of the call
-	 * @param head head of the request
+	 * @param method method of the request
+	 * @param requestSource creates the head of the request
 	 * @param body body of the request
 	 * @param listener receives the events of the call
 	 * @param dialect reads the head of the response
 	 * @param clock monotonic clock
 	 */
-	TargetCall(String requestId, HttpRequest head, byte[] body, CallListener listener, WireDialect dialect,
-			MonotonicClock clock) {
+	TargetCall(String requestId, HttpMethod method, RequestSource requestSource, byte[] body, CallListener listener,
+			WireDialect dialect, MonotonicClock clock) {
 		this.requestId = requestId;
-		this.head = head;
+		this.method = method;
+		this.requestSource = requestSource;
 		this.body = body;
 		this.listener = listener;
 		this.dialect = dialect;
@@ -95,30 +101,33 @@
 	}
 
 	/**
-	 * Sends the request on the established connection.
+	 * Sends the request on the established connection, unless the call has ended or must
+	 * not be sent any more. In the latter case the listener receives no event; the
+	 * deadline of the call ends it.
 	 */
 	void sendRequest() {
-		if (this.ended) {
+		Optional<HttpRequest> head = this.ended ? Optional.empty() : this.requestSource.createRequest();
+		if (head.isEmpty()) {
+			this.ended = true;
 			this.connection.close();
 			return;
 		}
 		this.sent = true;
-		setFramingHeaders();
-		this.connection.write(this.head, this.body);
+		setFramingHeaders(head.get().headers());
+		this.connection.write(head.get(), this.body);
 	}
 
-	private void setFramingHeaders() {
+	private void setFramingHeaders(HttpHeaders headers) {
 		if (isHeadRequest()) {
-			this.head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
-		if (this.body.length > 0 || HttpMethod.POST.equals(this.head.method())
-				|| HttpMethod.PUT.equals(this.head.method())) {
-			this.head.headers().set(HttpHeaderNames.CONTENT_LENGTH, this.body.length);
+		if (this.body.length > 0 || HttpMethod.POST.equals(this.method) || HttpMethod.PUT.equals(this.method)) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.body.length);
 		}
 	}
 
 	private boolean isHeadRequest() {
-		return HttpMethod.HEAD.equals(this.head.method());
+		return HttpMethod.HEAD.equals(this.method);
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
 import org.mustardlane.core.directory.TargetEntry;
@@ -74,22 +73,23 @@
 	 * @param target the target
 	 * @param requestId id of the call, which the response must repeat
 	 * @param semantics whether the call may be executed more than once
-	 * @param head head of the request
+	 * @param method method of the request
+	 * @param requestSource creates the head of the request when it is sent
 	 * @param body body of the request, empty for none
 	 * @param listener receives the events of the call
 	 * @return the call, which can be cancelled
 	 */
-	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, HttpRequest head,
-			byte[] body, CallListener listener) {
-		TargetCall call = new TargetCall(requestId, head, body, listener, this.dialect, this.clock);
-		Optional<TargetConnection> idleConnection = HttpMethod.HEAD.equals(head.method()) ? Optional.empty()
+	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, HttpMethod method,
+			RequestSource requestSource, byte[] body, CallListener listener) {
+		TargetCall call = new TargetCall(requestId, method, requestSource, body, listener, this.dialect, this.clock);
+		Optional<TargetConnection> idleConnection = HttpMethod.HEAD.equals(method) ? Optional.empty()
 				: takeIdle(target, semantics);
 		if (idleConnection.isPresent()) {
 			call.assign(idleConnection.get());
 			idleConnection.get().startCall(call);
 		}
 		else {
-			connect(target, call, head.method());
+			connect(target, call, method);
 		}
 		return call;
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -67,8 +67,8 @@
 		this.routingState = new RoutingState(new SingleRouteDecoder(), log, this.nowMillis::get, () -> {
 		});
 		ExchangeContext context = new ExchangeContext(this.loop, this.routingState, null, null, this.nowMillis::get,
-				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> 1, new DomainId("north"),
-				() -> 0.5);
+				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> 1, new LoopLag(250, 0),
+				new DomainId("north"), () -> 0.5);
 		this.router = new CallRouter(context, OptionalLong::empty);
 	}
 
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -109,10 +109,24 @@
 		assertEquals(this.listener.outageCount.get(), 0);
 	}
 
+	@Test
+	public void unexpectedExceptionDoesNotEndTheReads() {
+		write("key", "one");
+		start();
+		awaitValue("key", "one");
+		this.listener.failures.set(1);
+		write("key", "two");
+		awaitValue("key", "two");
+		write("key", "three");
+		awaitValue("key", "three");
+	}
+
 	private static final class RecordingListener implements TopicListener {
 
 		private final Map<String, String> values = new ConcurrentHashMap<>();
 
+		private final AtomicInteger failures = new AtomicInteger();
+
 		private final AtomicInteger snapshotCount = new AtomicInteger();
 
 		private final AtomicInteger outageCount = new AtomicInteger();
@@ -127,6 +141,9 @@
 
 		@Override
 		public void onRecords(List<KeyedRecord> records) {
+			if (!records.isEmpty() && this.failures.getAndUpdate((count) -> Math.max(0, count - 1)) > 0) {
+				throw new IllegalStateException("unexpected record");
+			}
 			records.forEach((logRecord) -> logRecord.body()
 				.ifPresent((body) -> this.values.put(logRecord.key(), new String(body, StandardCharsets.UTF_8))));
 		}
