Tell engines the priority of a call, and start the metrics library after the first callers

Cause 1: at a crest an engine queues calls; all were sent without a priority, so long work of low rank went before urgent work, although operators rank routes and organisations. The priority of the organisation, else of the route, now goes to the engine.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -217,11 +217,16 @@
 		this.loop.execute(this.routersFollower::start);
 		startPeers();
 		startHealthServer(this.settings.metricsAddress());
+		this.loop.execute(this::openMetrics);
+		this.loop.execute(() -> this.log.write(LogEvent.STARTED, "vm", this.settings.vm(), "domain",
+				this.settings.domain(), "callers", this.settings.callerAddress().getHostString() + ":" + callerPort()));
+	}
+
+	private void openMetrics() {
+		this.metrics.open();
 		this.metrics.registerOpenCalls(this.callRouter::openCalls);
 		this.metrics.registerRoutesVersion(this.routingState::routesVersion);
 		this.metrics.registerReadyTargets(() -> this.routingState.targets().readyCount());
-		this.loop.execute(() -> this.log.write(LogEvent.STARTED, "vm", this.settings.vm(), "domain",
-				this.settings.domain(), "callers", this.settings.callerAddress().getHostString() + ":" + callerPort()));
 	}
 
 	private boolean awaitRoutingState() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -130,11 +130,8 @@
 		RouteTable table = this.context.routingState().routes().orElseThrow();
 		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
 		PoolId pool = route.pickPool(this.context.nextRandom());
-		boolean copiesPrefixes = table.pool(pool)
-			.flatMap(PoolSpec::engine)
-			.filter(EngineSpec::copiesPrefixes)
-			.isPresent();
-		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), copiesPrefixes,
+		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
+		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
 				table.version());
 		this.openCalls++;
 		Exchange exchange = new Exchange(this.context, routedCall, caller, () -> this.openCalls--);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -141,7 +141,8 @@
 			return Optional.empty();
 		}
 		Dispatch dispatch = new Dispatch(target.id(), remainingMillis,
-				this.routedCall.organisation().map(Organisation::id), this.responseSink.lastEventId(), copySource);
+				this.routedCall.organisation().map(Organisation::id), this.routedCall.enginePriority(),
+				this.responseSink.lastEventId(), copySource);
 		return Optional.of(this.context.dialect().createTargetRequest(this.routedCall.call().request(), dispatch));
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
@@ -1,9 +1,11 @@
 package org.mustardlane.gateway.exchange;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.mustardlane.core.model.common.PoolId;
 import org.mustardlane.core.placement.SharedPrefix;
+import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.gateway.front.Call;
@@ -16,13 +18,36 @@
  * @param pool pool that was chosen for the call
  * @param organisation organisation whose key the call carries, empty if the call carries
  * no known key
- * @param copiesPrefixes whether the engines of the pool copy prompt prefixes from each
- * other
+ * @param engine capabilities of the engines of the pool, empty for a pool of plain
+ * services
  * @param routesVersion version of the routes that was used
  */
-record RoutedCall(Call call, Route route, PoolId pool, Optional<Organisation> organisation, boolean copiesPrefixes,
+record RoutedCall(Call call, Route route, PoolId pool, Optional<Organisation> organisation, Optional<EngineSpec> engine,
 		long routesVersion) {
 
+	/**
+	 * Returns whether the engines of the pool copy prompt prefixes from each other.
+	 * @return false also for a pool of plain services
+	 */
+	boolean copiesPrefixes() {
+		return this.engine.filter(EngineSpec::copiesPrefixes).isPresent();
+	}
+
+	/**
+	 * Returns the priority of the call among the calls to an engine. That of the
+	 * organisation overrides that of the route.
+	 * @return the priority, 0 is the highest; empty for a pool of plain services
+	 */
+	OptionalInt enginePriority() {
+		if (this.engine.isEmpty()) {
+			return OptionalInt.empty();
+		}
+		int priority = this.organisation.map(Organisation::priority)
+			.orElse(OptionalInt.empty())
+			.orElse(this.route.priority());
+		return OptionalInt.of(priority);
+	}
+
 	/**
 	 * Returns the prefix of the prompt that is shared with other calls.
 	 * @return the prefix, or empty if there is none
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/GatewayMetrics.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/GatewayMetrics.java
@@ -1,8 +1,11 @@
 package org.mustardlane.gateway.report;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -23,7 +26,9 @@
  * bounds the number of time series.
  *
  * <p>
- * Updated on the event loop of the daemon; may be read from any thread.
+ * Updates are kept until {@link #open} is called, so that the start of the metrics
+ * library does not delay callers. Updated on the event loop of the daemon; may be read
+ * from any thread once it is open.
  */
 public final class GatewayMetrics {
 
@@ -31,7 +36,14 @@
 		.map(Duration::ofMillis)
 		.toArray(Duration[]::new);
 
-	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+	/**
+	 * Limits the memory in use until {@link #open} is called.
+	 */
+	private static final int MAX_PENDING_UPDATES = 4096;
+
+	private final Queue<Runnable> pendingUpdates = new ArrayDeque<>();
+
+	private volatile Optional<PrometheusMeterRegistry> registry = Optional.empty();
 
 	private final Map<OutcomeKey, Timer> callTimers = new HashMap<>();
 
@@ -39,6 +51,28 @@
 
 	private final Map<AttemptKey, Counter> failureCounters = new HashMap<>();
 
+	/**
+	 * Starts the metrics library and applies the updates since the start of the process.
+	 */
+	public void open() {
+		this.registry = Optional.of(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+		this.pendingUpdates.forEach(Runnable::run);
+		this.pendingUpdates.clear();
+	}
+
+	private void update(Runnable change) {
+		if (this.registry.isPresent()) {
+			change.run();
+		}
+		else if (this.pendingUpdates.size() < MAX_PENDING_UPDATES) {
+			this.pendingUpdates.add(change);
+		}
+	}
+
+	private PrometheusMeterRegistry openRegistry() {
+		return this.registry.orElseThrow();
+	}
+
 	/**
 	 * Records a call that has ended.
 	 * @param outcome outcome of the call
@@ -46,8 +80,8 @@
 	 * @param elapsedMillis time from the arrival to the end of the call
 	 */
 	public void recordCall(CallOutcome outcome, PoolId pool, long elapsedMillis) {
-		this.callTimers.computeIfAbsent(new OutcomeKey(outcome, pool), this::createCallTimer)
-			.record(elapsedMillis, TimeUnit.MILLISECONDS);
+		update(() -> this.callTimers.computeIfAbsent(new OutcomeKey(outcome, pool), this::createCallTimer)
+			.record(elapsedMillis, TimeUnit.MILLISECONDS));
 	}
 
 	private Timer createCallTimer(OutcomeKey key) {
@@ -55,7 +89,7 @@
 			.serviceLevelObjectives(LATENCY_BUCKETS)
 			.tag("outcome", key.outcome().name())
 			.tag("pool", key.pool().value())
-			.register(this.registry);
+			.register(openRegistry());
 	}
 
 	/**
@@ -64,15 +98,15 @@
 	 * @param elapsedMillis time since the arrival of the call
 	 */
 	public void recordResponseStart(PoolId pool, long elapsedMillis) {
-		this.responseTimers.computeIfAbsent(pool, this::createResponseTimer)
-			.record(elapsedMillis, TimeUnit.MILLISECONDS);
+		update(() -> this.responseTimers.computeIfAbsent(pool, this::createResponseTimer)
+			.record(elapsedMillis, TimeUnit.MILLISECONDS));
 	}
 
 	private Timer createResponseTimer(PoolId pool) {
 		return Timer.builder("mustardlane.answers.begun")
 			.serviceLevelObjectives(LATENCY_BUCKETS)
 			.tag("pool", pool.value())
-			.register(this.registry);
+			.register(openRegistry());
 	}
 
 	/**
@@ -81,14 +115,15 @@
 	 * @param next step that follows the attempt
 	 */
 	public void recordFailedAttempt(AttemptFailure failure, NextStep next) {
-		this.failureCounters.computeIfAbsent(new AttemptKey(failure, next), this::createFailureCounter).increment();
+		update(() -> this.failureCounters.computeIfAbsent(new AttemptKey(failure, next), this::createFailureCounter)
+			.increment());
 	}
 
 	private Counter createFailureCounter(AttemptKey key) {
 		return Counter.builder("mustardlane.attempts.failed")
 			.tag("result", key.failure().name())
 			.tag("next", key.next().name())
-			.register(this.registry);
+			.register(openRegistry());
 	}
 
 	/**
@@ -96,7 +131,7 @@
 	 * @param supplier supplies the number of calls
 	 */
 	public void registerOpenCalls(IntSupplier supplier) {
-		Gauge.builder("mustardlane.calls.open", supplier::getAsInt).register(this.registry);
+		Gauge.builder("mustardlane.calls.open", supplier::getAsInt).register(openRegistry());
 	}
 
 	/**
@@ -104,7 +139,7 @@
 	 * @param supplier supplies the version
 	 */
 	public void registerRoutesVersion(LongSupplier supplier) {
-		Gauge.builder("mustardlane.routes.version", supplier::getAsLong).register(this.registry);
+		Gauge.builder("mustardlane.routes.version", supplier::getAsLong).register(openRegistry());
 	}
 
 	/**
@@ -112,7 +147,7 @@
 	 * @param supplier supplies the number of targets
 	 */
 	public void registerReadyTargets(IntSupplier supplier) {
-		Gauge.builder("mustardlane.targets.ready", supplier::getAsInt).register(this.registry);
+		Gauge.builder("mustardlane.targets.ready", supplier::getAsInt).register(openRegistry());
 	}
 
 	/**
@@ -120,7 +155,7 @@
 	 * @return the metrics
 	 */
 	public String scrape() {
-		return this.registry.scrape();
+		return this.registry.map(PrometheusMeterRegistry::scrape).orElse("");
 	}
 
 	private record AttemptKey(AttemptFailure failure, NextStep next) {
