--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/LoadPattern.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/LoadPattern.java
@@ -28,6 +28,13 @@
 			new CallType("summary", 9.79, 10_512, 78, 1300, 380, 1000),
 			new CallType("chat", 19.2, 699, 100, 130, 290, 400), new CallType("tag", 16.9, 2041, 47, 360, 25, 500));
 
+	/**
+	 * The generation load of a large fleet.
+	 */
+	public static final List<CallType> LARGE_FLEET_CALL_TYPES = List.of(
+			new CallType("summary", 63.2, 10_512, 135, 1300, 380, 1000),
+			new CallType("chat", 56.7, 699, 181, 130, 290, 400), new CallType("tag", 122, 2041, 389, 360, 25, 500));
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	/**
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/SimulatedEngineSettings.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/SimulatedEngineSettings.java
@@ -25,6 +25,12 @@
 	public static final SimulatedEngineSettings SITE_ENGINE = new SimulatedEngineSettings(64, 192, 518_159, 4.23,
 			0.0227, 64.2, 2048, 565);
 
+	/**
+	 * An engine as specified for the users' large fleets.
+	 */
+	public static final SimulatedEngineSettings LARGE_FLEET_ENGINE = new SimulatedEngineSettings(16, 48, 310_785, 4.23,
+			0.0227, 64.2, 2048, 565);
+
 	/**
 	 * Returns the duration of one step.
 	 * @param running number of running requests
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/Simulation.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/Simulation.java
@@ -26,12 +26,6 @@
 
 	private static final PoolId POOL = new PoolId("engines");
 
-	private static final int DOMAIN_COUNT = 3;
-
-	private static final int ROUTER_COUNT = 15;
-
-	private static final int ENGINE_COUNT = 8;
-
 	private static final int FIRST_PORT = 9000;
 
 	/**
@@ -51,7 +45,7 @@
 
 	private final EventQueue events = new EventQueue();
 
-	private final SimulatedEngineSettings engineSettings;
+	private final FleetSize fleet;
 
 	private final UniformRandomProvider random;
 
@@ -67,13 +61,13 @@
 
 	private final ResultCollector results = new ResultCollector();
 
-	private Simulation(SimulatedEngineSettings engineSettings, PlacementStrategy strategy, long seed) {
-		this.engineSettings = engineSettings;
+	private Simulation(FleetSize fleet, PlacementStrategy strategy, long seed) {
+		this.fleet = fleet;
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-		for (int number = 0; number < ENGINE_COUNT; number++) {
+		for (int number = 0; number < fleet.engines(); number++) {
 			this.knownEngines.add(addEngine().entry());
 		}
-		for (int number = 0; number < ROUTER_COUNT; number++) {
+		for (int number = 0; number < fleet.routers(); number++) {
 			this.routers.add(new SimulatedRouter(domain(number), strategy.createPolicy(this.random::nextDouble),
 					strategy.copiesPrefixes(), this));
 		}
@@ -81,7 +75,7 @@
 
 	/**
 	 * Runs a simulation.
-	 * @param engineSettings the performance and capacity of the engines
+	 * @param fleet the size of the deployment
 	 * @param strategy the placement strategy
 	 * @param load the calls over time
 	 * @param injectedEvents the events to inject
@@ -89,13 +83,13 @@
 	 * the strategy
 	 * @return the result
 	 */
-	public static SimulationResult run(SimulatedEngineSettings engineSettings, PlacementStrategy strategy,
-			LoadPattern load, List<InjectedEvent> injectedEvents, long seed) {
-		return new Simulation(engineSettings, strategy, seed).run(load, injectedEvents, seed);
+	public static SimulationResult run(FleetSize fleet, PlacementStrategy strategy, LoadPattern load,
+			List<InjectedEvent> injectedEvents, long seed) {
+		return new Simulation(fleet, strategy, seed).run(load, injectedEvents, seed);
 	}
 
 	private SimulationResult run(LoadPattern load, List<InjectedEvent> injectedEvents, long seed) {
-		for (SimulatedCall call : load.generateCalls(seed, ROUTER_COUNT)) {
+		for (SimulatedCall call : load.generateCalls(seed, this.fleet.routers())) {
 			this.events.schedule(call.arrivalMillis(), () -> {
 				this.results.recordArrival(call);
 				this.routers.get(call.routerIndex()).place(call);
@@ -107,15 +101,17 @@
 		return this.results.toResult(this.engines.stream().mapToLong(SimulatedEngine::processedPrefixTokens).sum());
 	}
 
-	private static DomainId domain(int number) {
-		return new DomainId("domain-" + number % DOMAIN_COUNT);
+	private DomainId domain(int number) {
+		return new DomainId("domain-" + number % this.fleet.domains());
 	}
 
 	private SimulatedEngine addEngine() {
 		int number = this.engines.size();
 		TargetId id = new TargetId("engine-" + number);
-		SimulatedEngine engine = new SimulatedEngine(new TargetEntry(id, POOL, "10.0.0.1", FIRST_PORT + number,
-				domain(number), this.engineSettings.slots(), TargetState.READY, 0), this.engineSettings, this.events);
+		SimulatedEngine engine = new SimulatedEngine(
+				new TargetEntry(id, POOL, "10.0.0.1", FIRST_PORT + number, domain(number),
+						this.fleet.engineSettings().slots(), TargetState.READY, 0),
+				this.fleet.engineSettings(), this.events);
 		this.engines.add(engine);
 		this.enginesById.put(id, engine);
 		return engine;
