--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
@@ -28,4 +28,19 @@
 		return this.state == TargetState.READY;
 	}
 
+	// The generated methods call method handles, which cost more than the comparison
+	// itself in code that the optimizing compiler has not compiled.
+	@Override
+	public boolean equals(Object other) {
+		return this == other || (other instanceof TargetEntry that && this.id.equals(that.id)
+				&& this.pool.equals(that.pool) && this.host.equals(that.host) && this.port == that.port
+				&& this.domain.equals(that.domain) && this.slots == that.slots && this.state == that.state
+				&& this.startedAtMillis == that.startedAtMillis);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.id.hashCode();
+	}
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/model/common/VmId.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/VmId.java
@@ -27,4 +27,16 @@
 		return this.value;
 	}
 
+	// The generated methods call method handles, which cost more than the comparison
+	// itself in code that the optimizing compiler has not compiled.
+	@Override
+	public boolean equals(Object other) {
+		return this == other || (other instanceof VmId that && this.value.equals(that.value));
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -90,7 +90,8 @@
 
 	private String sampleAgeText() {
 		LoadSample sample = this.load.sample();
-		return sample.equals(LoadSample.NONE) ? "" : Long.toString(this.lastReceivedMillis - sample.receivedAtMillis());
+		return (sample.receivedAtMillis() == LoadSample.NONE.receivedAtMillis()) ? ""
+				: Long.toString(this.lastReceivedMillis - sample.receivedAtMillis());
 	}
 
 	private long silenceLimitMillis() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetAddress.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetAddress.java
@@ -17,4 +17,17 @@
 		return new TargetAddress(target.id(), target.host(), target.port());
 	}
 
+	// The generated methods call method handles, which cost more than the comparison
+	// itself in code that the optimizing compiler has not compiled.
+	@Override
+	public boolean equals(Object other) {
+		return this == other || (other instanceof TargetAddress that && this.id.equals(that.id)
+				&& this.host.equals(that.host) && this.port == that.port);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.id.hashCode();
+	}
+
 }
