Never use a connection again on which a part of a message has arrived

Cause, by reading the new reuse: the first bytes of a late copy, or garbage without a line end, stay in the decoder without an event, so a connection looked idle and the next answer was spoilt. Bytes are now seen before they are decoded, and what the decoder holds is asked for.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/LoopLag.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/LoopLag.java
@@ -16,7 +16,10 @@
 	 */
 	private static final int START_MILLIS = 3000;
 
-	private static final int MEMORY_MILLIS = 1000;
+	/**
+	 * Events that arrived during the lag are still being processed for a while.
+	 */
+	private static final int RECOVERY_MILLIS = 1000;
 
 	private final int tickIntervalMillis;
 
@@ -41,7 +44,7 @@
 	 */
 	public void tick(long nowMillis) {
 		if (isTickLate(nowMillis)) {
-			this.laggingUntilMillis = Math.max(this.laggingUntilMillis, nowMillis + MEMORY_MILLIS);
+			this.laggingUntilMillis = Math.max(this.laggingUntilMillis, nowMillis + RECOVERY_MILLIS);
 		}
 		this.lastTickMillis = nowMillis;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
@@ -27,8 +27,8 @@
 	private static final int MAX_BACKOFF_MILLIS = 16_000;
 
 	/**
-	 * With three random neighbours each, a hundred routers would rarely be connected by
-	 * more than a few long paths.
+	 * Each router is also a neighbour of about as many others, which connects even large
+	 * fleets by short paths.
 	 */
 	private static final int NEIGHBOUR_COUNT = 4;
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -124,6 +124,7 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
+						.addLast(connection.createIdleGuard())
 						.addLast(new HttpRequestEncoder())
 						.addLast(new TargetResponseDecoder(method,
 								new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)))
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -40,7 +41,7 @@
 
 	private long idleSinceMillis;
 
-	private long idleLimitMillis;
+	private long idleDeadlineMillis;
 
 	/**
 	 * Creates a connection for its first call.
@@ -127,19 +128,46 @@
 		}
 		this.responseEnded = true;
 		this.idleSinceMillis = nowMillis;
-		this.idleLimitMillis = nowMillis + maxIdleMillis;
+		this.idleDeadlineMillis = nowMillis + maxIdleMillis;
 	}
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext ctx) {
 		if (this.responseEnded && ctx.channel().isActive()) {
 			this.responseEnded = false;
-			ctx.channel().config().setAutoRead(true);
-			this.onIdle.accept(this);
+			becomeIdle(ctx);
 		}
 		ctx.fireChannelReadComplete();
 	}
 
+	private void becomeIdle(ChannelHandlerContext ctx) {
+		if (ctx.pipeline().get(TargetResponseDecoder.class).hasUndecodedBytes()) {
+			close();
+			return;
+		}
+		ctx.channel().config().setAutoRead(true);
+		this.onIdle.accept(this);
+	}
+
+	/**
+	 * Creates the handler that closes the connection on bytes that arrive while no call
+	 * is in progress, before they are decoded.
+	 * @return the handler
+	 */
+	ChannelInboundHandler createIdleGuard() {
+		return new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext ctx, Object message) {
+				if (TargetConnection.this.currentCall.isEmpty()) {
+					ReferenceCountUtil.release(message);
+					close();
+					return;
+				}
+				ctx.fireChannelRead(message);
+			}
+		};
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		failCall("the connection ended");
@@ -173,7 +201,7 @@
 	 * @return true if the connection is open and was used recently enough
 	 */
 	boolean isUsable(long nowMillis, int maxIdleMillis) {
-		return isOpen() && nowMillis - this.idleSinceMillis <= maxIdleMillis && nowMillis < this.idleLimitMillis;
+		return isOpen() && nowMillis - this.idleSinceMillis <= maxIdleMillis && nowMillis < this.idleDeadlineMillis;
 	}
 
 	boolean isOpen() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetResponseDecoder.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetResponseDecoder.java
@@ -6,7 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
- * Decodes the responses on a connection that carries a single request.
+ * Decodes the responses on a connection to a target.
  */
 final class TargetResponseDecoder extends HttpResponseDecoder {
 
@@ -27,4 +27,12 @@
 		return this.headRequest || super.isContentAlwaysEmpty(message);
 	}
 
+	/**
+	 * Returns whether bytes have arrived that make no complete message part yet.
+	 * @return true if the decoder holds such bytes
+	 */
+	boolean hasUndecodedBytes() {
+		return actualReadableBytes() > 0;
+	}
+
 }
