--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/PooledConnection.java
@@ -23,11 +23,11 @@
  * was written completely, once nothing else has arrived with that response. Bytes that
  * arrive while no call is in progress close it. Confined to the event loop of the daemon.
  */
-final class TargetConnection extends ChannelInboundHandlerAdapter {
+final class PooledConnection extends ChannelInboundHandlerAdapter {
 
 	private final TargetAddress address;
 
-	private final Consumer<TargetConnection> onIdle;
+	private final Consumer<PooledConnection> onIdle;
 
 	private Optional<TargetCall> currentCall;
 
@@ -49,7 +49,7 @@
 	 * @param firstCall call that is sent once the connection is established
 	 * @param onIdle accepts the connection whenever it can carry another call
 	 */
-	TargetConnection(TargetAddress address, TargetCall firstCall, Consumer<TargetConnection> onIdle) {
+	PooledConnection(TargetAddress address, TargetCall firstCall, Consumer<PooledConnection> onIdle) {
 		this.address = address;
 		this.currentCall = Optional.of(firstCall);
 		this.onIdle = onIdle;
@@ -158,7 +158,7 @@
 		return new ChannelInboundHandlerAdapter() {
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object message) {
-				if (TargetConnection.this.currentCall.isEmpty()) {
+				if (PooledConnection.this.currentCall.isEmpty()) {
 					ReferenceCountUtil.release(message);
 					close();
 					return;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetCall.java
@@ -55,7 +55,7 @@
 
 	private final MonotonicClock clock;
 
-	private TargetConnection connection;
+	private PooledConnection connection;
 
 	private boolean sent;
 
@@ -96,7 +96,7 @@
 	 * Assigns the connection that carries the call.
 	 * @param targetConnection the connection
 	 */
-	void assign(TargetConnection targetConnection) {
+	void assign(PooledConnection targetConnection) {
 		this.connection = targetConnection;
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -52,7 +52,7 @@
 
 	private final MonotonicClock clock;
 
-	private final Map<TargetAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
+	private final Map<TargetAddress, Deque<PooledConnection>> idleConnections = new HashMap<>();
 
 	private final Map<PoolId, ConnectionReusePolicy> reusePolicies = new HashMap<>();
 
@@ -82,7 +82,7 @@
 	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, HttpMethod method,
 			RequestSource requestSource, byte[] body, CallListener listener) {
 		TargetCall call = new TargetCall(requestId, method, requestSource, body, listener, this.dialect, this.clock);
-		Optional<TargetConnection> idleConnection = HttpMethod.HEAD.equals(method) ? Optional.empty()
+		Optional<PooledConnection> idleConnection = HttpMethod.HEAD.equals(method) ? Optional.empty()
 				: takeIdle(target, semantics);
 		if (idleConnection.isPresent()) {
 			call.assign(idleConnection.get());
@@ -94,8 +94,8 @@
 		return call;
 	}
 
-	private Optional<TargetConnection> takeIdle(TargetEntry target, RequestSemantics semantics) {
-		Deque<TargetConnection> connections = this.idleConnections.getOrDefault(TargetAddress.of(target),
+	private Optional<PooledConnection> takeIdle(TargetEntry target, RequestSemantics semantics) {
+		Deque<PooledConnection> connections = this.idleConnections.getOrDefault(TargetAddress.of(target),
 				new ArrayDeque<>());
 		long nowMillis = this.clock.nowMillis();
 		int maxIdleMillis = reusePolicy(target.pool()).maxIdleMillis(semantics, nowMillis);
@@ -114,7 +114,7 @@
 	}
 
 	private void connect(TargetEntry target, TargetCall call, HttpMethod method) {
-		TargetConnection connection = new TargetConnection(TargetAddress.of(target), call, this::keepIdle);
+		PooledConnection connection = new PooledConnection(TargetAddress.of(target), call, this::keepIdle);
 		call.assign(connection);
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -134,8 +134,8 @@
 		connection.attach(bootstrap.connect(target.host(), target.port()));
 	}
 
-	private void keepIdle(TargetConnection connection) {
-		Deque<TargetConnection> connections = this.idleConnections.computeIfAbsent(connection.address(),
+	private void keepIdle(PooledConnection connection) {
+		Deque<PooledConnection> connections = this.idleConnections.computeIfAbsent(connection.address(),
 				(address) -> new ArrayDeque<>());
 		connections.addLast(connection);
 		if (connections.size() > MAX_IDLE_PER_TARGET) {
@@ -151,7 +151,7 @@
 	public void recordDroppedConnection(TargetEntry target) {
 		reusePolicy(target.pool()).recordDroppedConnection(this.clock.nowMillis());
 		Optional.ofNullable(this.idleConnections.remove(TargetAddress.of(target)))
-			.ifPresent((connections) -> connections.forEach(TargetConnection::close));
+			.ifPresent((connections) -> connections.forEach(PooledConnection::close));
 	}
 
 	/**
@@ -171,9 +171,9 @@
 
 	private void closeUnusable(int maxIdleMillis) {
 		long nowMillis = this.clock.nowMillis();
-		Iterator<Deque<TargetConnection>> entries = this.idleConnections.values().iterator();
+		Iterator<Deque<PooledConnection>> entries = this.idleConnections.values().iterator();
 		while (entries.hasNext()) {
-			Deque<TargetConnection> connections = entries.next();
+			Deque<PooledConnection> connections = entries.next();
 			connections.removeIf((connection) -> {
 				boolean isUnusable = !connection.isUsable(nowMillis, maxIdleMillis);
 				if (isUnusable) {
