--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/DomainReachabilityTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/DomainReachabilityTests.java
@@ -66,7 +66,7 @@
 				target("far-3", OTHER_DOMAIN));
 		PlacementPolicy policy = new PrefixPolicy(new LeastLoadedPolicy(() -> 0.5));
 		for (long prefixHash = 0; prefixHash < 50; prefixHash++) {
-			Optional<SharedPrefix> prefix = Optional.of(new SharedPrefix(prefixHash, 1000));
+			Optional<SharedPrefix> prefix = Optional.of(new SharedPrefix(prefixHash, 1000, List.of()));
 			assertEquals(policy.choose(new PlacementRequest(candidates, prefix, OWN_DOMAIN, 100), loads).orElseThrow(),
 					ownTarget);
 		}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
@@ -45,7 +45,7 @@
 	}
 
 	private static Optional<SharedPrefix> sharedPrefix(long hash) {
-		return Optional.of(new SharedPrefix(hash, 10_000));
+		return Optional.of(new SharedPrefix(hash, 10_000, List.of()));
 	}
 
 	private static PlacementRequest request(List<TargetEntry> candidates, Optional<SharedPrefix> prefix) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
@@ -19,7 +19,7 @@
  */
 public class PrefixHoldersTests {
 
-	private static final SharedPrefix PREFIX = new SharedPrefix(42, 10_000);
+	private static final SharedPrefix PREFIX = new SharedPrefix(42, 10_000, List.of());
 
 	private static final TargetEntry FIRST_ENGINE = engine("one");
 
@@ -88,7 +88,7 @@
 
 	@Test
 	public void shortPrefixIsNotCopied() {
-		SharedPrefix shortPrefix = new SharedPrefix(42, 100);
+		SharedPrefix shortPrefix = new SharedPrefix(42, 100, List.of());
 		this.holders.recordResponse(shortPrefix, FIRST_ENGINE, 0);
 		assertEquals(
 				this.holders.findCopySource(shortPrefix, SECOND_ENGINE, List.of(FIRST_ENGINE, SECOND_ENGINE), 1000),
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventStreamBuffer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventStreamBuffer.java
@@ -28,6 +28,10 @@
 
 	private boolean outOfOrder;
 
+	private int eventCount;
+
+	private boolean fieldRead;
+
 	/**
 	 * Adds bytes of the stream and returns the events that they complete.
 	 * @param content the bytes, which are copied
@@ -42,7 +46,7 @@
 			return Optional.empty();
 		}
 		Optional<String> previousEventId = this.lastEventId;
-		readEventIds(combined, end);
+		readLines(combined, end);
 		if (this.outOfOrder) {
 			this.lastEventId = previousEventId;
 		}
@@ -74,16 +78,30 @@
 		return previous < 0 || bytes[previous] == '\n';
 	}
 
-	private void readEventIds(byte[] events, int length) {
+	private void readLines(byte[] events, int length) {
 		int lineStart = 0;
 		for (int index = 0; index < length; index++) {
 			if (events[index] == '\n') {
 				parseIdField(events, lineStart, index);
+				countEvent(events, lineStart, index);
 				lineStart = index + 1;
 			}
 		}
 	}
 
+	// A blank line ends an event if fields, and not only comments, precede it.
+	private void countEvent(byte[] events, int start, int end) {
+		boolean isBlank = start == end || events[start] == '\r';
+		if (!isBlank) {
+			this.fieldRead |= events[start] != ':';
+			return;
+		}
+		if (this.fieldRead) {
+			this.eventCount++;
+		}
+		this.fieldRead = false;
+	}
+
 	private void parseIdField(byte[] events, int start, int end) {
 		int valueStart = start + ID_FIELD.length;
 		if (valueStart > end || !Arrays.equals(events, start, valueStart, ID_FIELD, 0, ID_FIELD.length)) {
@@ -126,6 +144,14 @@
 		return this.pending.length > MAX_EVENT_BYTES;
 	}
 
+	/**
+	 * Returns the number of complete events, not counting comments.
+	 * @return the number of events
+	 */
+	int eventCount() {
+		return this.eventCount;
+	}
+
 	/**
 	 * Returns the id of the newest complete event.
 	 * @return the id, or empty if no event had an id
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -6,13 +6,16 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.placement.PlacementRequest;
+import org.mustardlane.core.placement.SharedPrefix;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
@@ -249,7 +252,16 @@
 		this.context.log()
 			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routedCall.pool(), "target",
 					this.lastTargetId, "result", failure, "next", step, "runs", this.possibleExecutions, "sends",
-					this.sendCount, "detail", detail);
+					this.sendCount, "events", this.responseSink.eventCount(), "parts", partsText(), "detail", detail);
+	}
+
+	private String partsText() {
+		return this.routedCall.prefix()
+			.map(SharedPrefix::parts)
+			.orElse(List.of())
+			.stream()
+			.map(PromptPartId::value)
+			.collect(Collectors.joining(" "));
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResponseSink.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResponseSink.java
@@ -149,6 +149,14 @@
 		return !this.started || (isEventStream() && lastEventId().isPresent());
 	}
 
+	/**
+	 * Returns the number of events that were forwarded.
+	 * @return the number of events, 0 for a response that is not an event stream
+	 */
+	int eventCount() {
+		return this.eventBuffer.eventCount();
+	}
+
 	/**
 	 * Returns the id of the last forwarded event.
 	 * @return the id, or empty if no event with an id was forwarded
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/LoadPattern.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/LoadPattern.java
@@ -78,7 +78,7 @@
 		// Without scrambling, prefixes with consecutive numbers would be neighbours in
 		// the ranking of home engines.
 		long hash = mixBits(callType.name().hashCode() * 1009L + number);
-		return new SharedPrefix(hash, callType.sharedTokens());
+		return new SharedPrefix(hash, callType.sharedTokens(), List.of());
 	}
 
 	private static long mixBits(long value) {
