--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/AnswerChunk.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/AnswerChunk.java
@@ -115,7 +115,7 @@
   private boolean whole_ = false;
   /**
    * <pre>
-   * True on the last chunk of a whole answer; a stream that ends without it is broken.
+   * True on the last chunk of a complete response. A stream that ends without it is incomplete.
    * </pre>
    *
    * <code>bool whole = 4;</code>
@@ -631,7 +631,7 @@
     private boolean whole_ ;
     /**
      * <pre>
-     * True on the last chunk of a whole answer; a stream that ends without it is broken.
+     * True on the last chunk of a complete response. A stream that ends without it is incomplete.
      * </pre>
      *
      * <code>bool whole = 4;</code>
@@ -643,7 +643,7 @@
     }
     /**
      * <pre>
-     * True on the last chunk of a whole answer; a stream that ends without it is broken.
+     * True on the last chunk of a complete response. A stream that ends without it is incomplete.
      * </pre>
      *
      * <code>bool whole = 4;</code>
@@ -659,7 +659,7 @@
     }
     /**
      * <pre>
-     * True on the last chunk of a whole answer; a stream that ends without it is broken.
+     * True on the last chunk of a complete response. A stream that ends without it is incomplete.
      * </pre>
      *
      * <code>bool whole = 4;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/AnswerChunkOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/AnswerChunkOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * True on the last chunk of a whole answer; a stream that ends without it is broken.
+   * True on the last chunk of a complete response. A stream that ends without it is incomplete.
    * </pre>
    *
    * <code>bool whole = 4;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/CatalogueRelay.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/CatalogueRelay.java
@@ -54,7 +54,7 @@
   private com.google.protobuf.ByteString checkpoint_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * Set where the sender no longer holds the records from the asked offset: its whole state instead.
+   * State of the whole catalogue; set if the sender no longer holds the records from the requested offset.
    * </pre>
    *
    * <code>bytes checkpoint = 1;</code>
@@ -516,7 +516,7 @@
     private com.google.protobuf.ByteString checkpoint_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * Set where the sender no longer holds the records from the asked offset: its whole state instead.
+     * State of the whole catalogue; set if the sender no longer holds the records from the requested offset.
      * </pre>
      *
      * <code>bytes checkpoint = 1;</code>
@@ -528,7 +528,7 @@
     }
     /**
      * <pre>
-     * Set where the sender no longer holds the records from the asked offset: its whole state instead.
+     * State of the whole catalogue; set if the sender no longer holds the records from the requested offset.
      * </pre>
      *
      * <code>bytes checkpoint = 1;</code>
@@ -544,7 +544,7 @@
     }
     /**
      * <pre>
-     * Set where the sender no longer holds the records from the asked offset: its whole state instead.
+     * State of the whole catalogue; set if the sender no longer holds the records from the requested offset.
      * </pre>
      *
      * <code>bytes checkpoint = 1;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/CatalogueRelayOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/CatalogueRelayOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Set where the sender no longer holds the records from the asked offset: its whole state instead.
+   * State of the whole catalogue; set if the sender no longer holds the records from the requested offset.
    * </pre>
    *
    * <code>bytes checkpoint = 1;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantAsk.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantAsk.java
@@ -282,7 +282,7 @@
   private boolean mayQueue_ = false;
   /**
    * <pre>
-   * True where the asker has no other shard to go to: the owner then queues instead of redirecting.
+   * True if the requester has no other shard to try; the owner then queues the request instead of redirecting it.
    * </pre>
    *
    * <code>bool may_queue = 10;</code>
@@ -1450,7 +1450,7 @@
     private boolean mayQueue_ ;
     /**
      * <pre>
-     * True where the asker has no other shard to go to: the owner then queues instead of redirecting.
+     * True if the requester has no other shard to try; the owner then queues the request instead of redirecting it.
      * </pre>
      *
      * <code>bool may_queue = 10;</code>
@@ -1462,7 +1462,7 @@
     }
     /**
      * <pre>
-     * True where the asker has no other shard to go to: the owner then queues instead of redirecting.
+     * True if the requester has no other shard to try; the owner then queues the request instead of redirecting it.
      * </pre>
      *
      * <code>bool may_queue = 10;</code>
@@ -1478,7 +1478,7 @@
     }
     /**
      * <pre>
-     * True where the asker has no other shard to go to: the owner then queues instead of redirecting.
+     * True if the requester has no other shard to try; the owner then queues the request instead of redirecting it.
      * </pre>
      *
      * <code>bool may_queue = 10;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantAskOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantAskOrBuilder.java
@@ -112,7 +112,7 @@
 
   /**
    * <pre>
-   * True where the asker has no other shard to go to: the owner then queues instead of redirecting.
+   * True if the requester has no other shard to try; the owner then queues the request instead of redirecting it.
    * </pre>
    *
    * <code>bool may_queue = 10;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantRenewal.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/GrantRenewal.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * All grants of a shard that the sender still uses; sent before their deadlines and to a new owner.
+ * All grants of a shard that the sender still uses. Sent before they expire, and to a new owner of the shard.
  * </pre>
  *
  * Protobuf type {@code mustardlane.GrantRenewal}
@@ -307,7 +307,7 @@
   }
   /**
    * <pre>
-   * All grants of a shard that the sender still uses; sent before their deadlines and to a new owner.
+   * All grants of a shard that the sender still uses. Sent before they expire, and to a new owner of the shard.
    * </pre>
    *
    * Protobuf type {@code mustardlane.GrantRenewal}
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecord.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecord.java
@@ -104,7 +104,7 @@
   private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * Empty where the record removes its key.
+   * Empty if the record removes its key.
    * </pre>
    *
    * <code>bytes body = 3;</code>
@@ -565,7 +565,7 @@
     private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
     /**
      * <pre>
-     * Empty where the record removes its key.
+     * Empty if the record removes its key.
      * </pre>
      *
      * <code>bytes body = 3;</code>
@@ -577,7 +577,7 @@
     }
     /**
      * <pre>
-     * Empty where the record removes its key.
+     * Empty if the record removes its key.
      * </pre>
      *
      * <code>bytes body = 3;</code>
@@ -593,7 +593,7 @@
     }
     /**
      * <pre>
-     * Empty where the record removes its key.
+     * Empty if the record removes its key.
      * </pre>
      *
      * <code>bytes body = 3;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecordOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecordOrBuilder.java
@@ -30,7 +30,7 @@
 
   /**
    * <pre>
-   * Empty where the record removes its key.
+   * Empty if the record removes its key.
    * </pre>
    *
    * <code>bytes body = 3;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/OperatorServiceGrpc.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/OperatorServiceGrpc.java
@@ -4,7 +4,7 @@
 
 /**
  * <pre>
- * What the command-line tool asks of one router.
+ * Requests of the command-line tool to one router.
  * </pre>
  */
 @io.grpc.stub.annotations.GrpcGenerated
@@ -231,7 +231,7 @@
 
   /**
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public interface AsyncService {
@@ -275,7 +275,7 @@
   /**
    * Base class for the server implementation of the service OperatorService.
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public static abstract class OperatorServiceImplBase
@@ -289,7 +289,7 @@
   /**
    * A stub to allow clients to do asynchronous rpc calls to service OperatorService.
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public static final class OperatorServiceStub
@@ -349,7 +349,7 @@
   /**
    * A stub to allow clients to do synchronous rpc calls to service OperatorService.
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public static final class OperatorServiceBlockingV2Stub
@@ -406,7 +406,7 @@
   /**
    * A stub to allow clients to do limited synchronous rpc calls to service OperatorService.
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public static final class OperatorServiceBlockingStub
@@ -462,7 +462,7 @@
   /**
    * A stub to allow clients to do ListenableFuture-style rpc calls to service OperatorService.
    * <pre>
-   * What the command-line tool asks of one router.
+   * Requests of the command-line tool to one router.
    * </pre>
    */
   public static final class OperatorServiceFutureStub
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerFrame.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerFrame.java
@@ -118,7 +118,7 @@
   private volatile java.lang.Object senderVm_ = "";
   /**
    * <pre>
-   * VM of the sender; set on the first frame of a stream.
+   * VM of the sender. The receiver needs it on the first frame of a stream.
    * </pre>
    *
    * <code>string sender_vm = 1;</code>
@@ -139,7 +139,7 @@
   }
   /**
    * <pre>
-   * VM of the sender; set on the first frame of a stream.
+   * VM of the sender. The receiver needs it on the first frame of a stream.
    * </pre>
    *
    * <code>string sender_vm = 1;</code>
@@ -164,7 +164,7 @@
   private long hybridTime_ = 0L;
   /**
    * <pre>
-   * Hybrid logical clock of the sender.
+   * Hybrid logical time at the sender when it sent the frame.
    * </pre>
    *
    * <code>fixed64 hybrid_time = 2;</code>
@@ -1367,7 +1367,7 @@
     private java.lang.Object senderVm_ = "";
     /**
      * <pre>
-     * VM of the sender; set on the first frame of a stream.
+     * VM of the sender. The receiver needs it on the first frame of a stream.
      * </pre>
      *
      * <code>string sender_vm = 1;</code>
@@ -1387,7 +1387,7 @@
     }
     /**
      * <pre>
-     * VM of the sender; set on the first frame of a stream.
+     * VM of the sender. The receiver needs it on the first frame of a stream.
      * </pre>
      *
      * <code>string sender_vm = 1;</code>
@@ -1408,7 +1408,7 @@
     }
     /**
      * <pre>
-     * VM of the sender; set on the first frame of a stream.
+     * VM of the sender. The receiver needs it on the first frame of a stream.
      * </pre>
      *
      * <code>string sender_vm = 1;</code>
@@ -1425,7 +1425,7 @@
     }
     /**
      * <pre>
-     * VM of the sender; set on the first frame of a stream.
+     * VM of the sender. The receiver needs it on the first frame of a stream.
      * </pre>
      *
      * <code>string sender_vm = 1;</code>
@@ -1439,7 +1439,7 @@
     }
     /**
      * <pre>
-     * VM of the sender; set on the first frame of a stream.
+     * VM of the sender. The receiver needs it on the first frame of a stream.
      * </pre>
      *
      * <code>string sender_vm = 1;</code>
@@ -1459,7 +1459,7 @@
     private long hybridTime_ ;
     /**
      * <pre>
-     * Hybrid logical clock of the sender.
+     * Hybrid logical time at the sender when it sent the frame.
      * </pre>
      *
      * <code>fixed64 hybrid_time = 2;</code>
@@ -1471,7 +1471,7 @@
     }
     /**
      * <pre>
-     * Hybrid logical clock of the sender.
+     * Hybrid logical time at the sender when it sent the frame.
      * </pre>
      *
      * <code>fixed64 hybrid_time = 2;</code>
@@ -1487,7 +1487,7 @@
     }
     /**
      * <pre>
-     * Hybrid logical clock of the sender.
+     * Hybrid logical time at the sender when it sent the frame.
      * </pre>
      *
      * <code>fixed64 hybrid_time = 2;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerFrameOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerFrameOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * VM of the sender; set on the first frame of a stream.
+   * VM of the sender. The receiver needs it on the first frame of a stream.
    * </pre>
    *
    * <code>string sender_vm = 1;</code>
@@ -21,7 +21,7 @@
   java.lang.String getSenderVm();
   /**
    * <pre>
-   * VM of the sender; set on the first frame of a stream.
+   * VM of the sender. The receiver needs it on the first frame of a stream.
    * </pre>
    *
    * <code>string sender_vm = 1;</code>
@@ -32,7 +32,7 @@
 
   /**
    * <pre>
-   * Hybrid logical clock of the sender.
+   * Hybrid logical time at the sender when it sent the frame.
    * </pre>
    *
    * <code>fixed64 hybrid_time = 2;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerServiceGrpc.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PeerServiceGrpc.java
@@ -4,7 +4,7 @@
 
 /**
  * <pre>
- * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+ * Messages between routers. Each router opens one stream to each peer that it sends to.
  * </pre>
  */
 @io.grpc.stub.annotations.GrpcGenerated
@@ -138,7 +138,7 @@
 
   /**
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public interface AsyncService {
@@ -152,7 +152,7 @@
 
     /**
      * <pre>
-     * The whole answer of a request that another router's attempt produces.
+     * Returns the response to a request that the called router runs.
      * </pre>
      */
     default void joinAnswer(org.mustardlane.protocol.JoinAnswerRequest request,
@@ -164,7 +164,7 @@
   /**
    * Base class for the server implementation of the service PeerService.
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public static abstract class PeerServiceImplBase
@@ -178,7 +178,7 @@
   /**
    * A stub to allow clients to do asynchronous rpc calls to service PeerService.
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public static final class PeerServiceStub
@@ -204,7 +204,7 @@
 
     /**
      * <pre>
-     * The whole answer of a request that another router's attempt produces.
+     * Returns the response to a request that the called router runs.
      * </pre>
      */
     public void joinAnswer(org.mustardlane.protocol.JoinAnswerRequest request,
@@ -217,7 +217,7 @@
   /**
    * A stub to allow clients to do synchronous rpc calls to service PeerService.
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public static final class PeerServiceBlockingV2Stub
@@ -244,7 +244,7 @@
 
     /**
      * <pre>
-     * The whole answer of a request that another router's attempt produces.
+     * Returns the response to a request that the called router runs.
      * </pre>
      */
     @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
@@ -258,7 +258,7 @@
   /**
    * A stub to allow clients to do limited synchronous rpc calls to service PeerService.
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public static final class PeerServiceBlockingStub
@@ -276,7 +276,7 @@
 
     /**
      * <pre>
-     * The whole answer of a request that another router's attempt produces.
+     * Returns the response to a request that the called router runs.
      * </pre>
      */
     public java.util.Iterator<org.mustardlane.protocol.AnswerChunk> joinAnswer(
@@ -289,7 +289,7 @@
   /**
    * A stub to allow clients to do ListenableFuture-style rpc calls to service PeerService.
    * <pre>
-   * Traffic between routers. One stream per pair and direction of dialling; both ends send on it.
+   * Messages between routers. Each router opens one stream to each peer that it sends to.
    * </pre>
    */
   public static final class PeerServiceFutureStub
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PublishAnswer.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/PublishAnswer.java
@@ -74,7 +74,7 @@
     UNAVAILABLE(3),
     /**
      * <pre>
-     * The append's answer was lost and the log could not be read to settle it.
+     * The response to the append was lost, and the log could not be read to determine the result.
      * </pre>
      *
      * <code>UNKNOWN = 4;</code>
@@ -110,7 +110,7 @@
     public static final int UNAVAILABLE_VALUE = 3;
     /**
      * <pre>
-     * The append's answer was lost and the log could not be read to settle it.
+     * The response to the append was lost, and the log could not be read to determine the result.
      * </pre>
      *
      * <code>UNKNOWN = 4;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoad.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoad.java
@@ -136,7 +136,7 @@
   private int ageMillis_ = 0;
   /**
    * <pre>
-   * How long ago the sender or its peer saw it.
+   * Time since the sender or its peer received the load from the target.
    * </pre>
    *
    * <code>uint32 age_millis = 6;</code>
@@ -761,7 +761,7 @@
     private int ageMillis_ ;
     /**
      * <pre>
-     * How long ago the sender or its peer saw it.
+     * Time since the sender or its peer received the load from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 6;</code>
@@ -773,7 +773,7 @@
     }
     /**
      * <pre>
-     * How long ago the sender or its peer saw it.
+     * Time since the sender or its peer received the load from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 6;</code>
@@ -789,7 +789,7 @@
     }
     /**
      * <pre>
-     * How long ago the sender or its peer saw it.
+     * Time since the sender or its peer received the load from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 6;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoadOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoadOrBuilder.java
@@ -48,7 +48,7 @@
 
   /**
    * <pre>
-   * How long ago the sender or its peer saw it.
+   * Time since the sender or its peer received the load from the target.
    * </pre>
    *
    * <code>uint32 age_millis = 6;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeat.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeat.java
@@ -133,7 +133,7 @@
   private long incarnation_ = 0L;
   /**
    * <pre>
-   * Start time of the process, so that a restarted VM outranks its earlier self.
+   * Start time of the process, so that heartbeats of a restarted router replace those from before the restart.
    * </pre>
    *
    * <code>int64 incarnation = 3;</code>
@@ -231,7 +231,7 @@
   private long silenceMillis_ = 0L;
   /**
    * <pre>
-   * Time since the sender of this row saw the counter grow.
+   * Time since the sender of the gossip last saw the counter increase.
    * </pre>
    *
    * <code>int64 silence_millis = 9;</code>
@@ -876,7 +876,7 @@
     private long incarnation_ ;
     /**
      * <pre>
-     * Start time of the process, so that a restarted VM outranks its earlier self.
+     * Start time of the process, so that heartbeats of a restarted router replace those from before the restart.
      * </pre>
      *
      * <code>int64 incarnation = 3;</code>
@@ -888,7 +888,7 @@
     }
     /**
      * <pre>
-     * Start time of the process, so that a restarted VM outranks its earlier self.
+     * Start time of the process, so that heartbeats of a restarted router replace those from before the restart.
      * </pre>
      *
      * <code>int64 incarnation = 3;</code>
@@ -904,7 +904,7 @@
     }
     /**
      * <pre>
-     * Start time of the process, so that a restarted VM outranks its earlier self.
+     * Start time of the process, so that heartbeats of a restarted router replace those from before the restart.
      * </pre>
      *
      * <code>int64 incarnation = 3;</code>
@@ -1120,7 +1120,7 @@
     private long silenceMillis_ ;
     /**
      * <pre>
-     * Time since the sender of this row saw the counter grow.
+     * Time since the sender of the gossip last saw the counter increase.
      * </pre>
      *
      * <code>int64 silence_millis = 9;</code>
@@ -1132,7 +1132,7 @@
     }
     /**
      * <pre>
-     * Time since the sender of this row saw the counter grow.
+     * Time since the sender of the gossip last saw the counter increase.
      * </pre>
      *
      * <code>int64 silence_millis = 9;</code>
@@ -1148,7 +1148,7 @@
     }
     /**
      * <pre>
-     * Time since the sender of this row saw the counter grow.
+     * Time since the sender of the gossip last saw the counter increase.
      * </pre>
      *
      * <code>int64 silence_millis = 9;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeatOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/VmHeartbeatOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * Start time of the process, so that a restarted VM outranks its earlier self.
+   * Start time of the process, so that heartbeats of a restarted router replace those from before the restart.
    * </pre>
    *
    * <code>int64 incarnation = 3;</code>
@@ -82,7 +82,7 @@
 
   /**
    * <pre>
-   * Time since the sender of this row saw the counter grow.
+   * Time since the sender of the gossip last saw the counter increase.
    * </pre>
    *
    * <code>int64 silence_millis = 9;</code>
