--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/StartedAnswer.java
@@ -0,0 +1,24 @@
+package org.mustardlane.core.quarantine;
+
+import java.util.List;
+
+import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.model.common.TargetId;
+
+/**
+ * An answer that an engine has begun without crashing.
+ *
+ * @param target the engine
+ * @param parts the shared parts of the prompt, in order
+ * @param startedAtMillis time from which the engine is known to have survived the begin
+ */
+public record StartedAnswer(TargetId target, List<PromptPartId> parts, long startedAtMillis) {
+
+	/**
+	 * Copies the parts.
+	 */
+	public StartedAnswer {
+		parts = List.copyOf(parts);
+	}
+
+}
--- /dev/null
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -0,0 +1,179 @@
+package org.mustardlane.core.quarantine;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.model.common.TargetId;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of finding the part of a prompt that crashes engines.
+ */
+public class CrashEvidenceTests {
+
+	private static final long LONG_AFTER_MILLIS = 100_000;
+
+	private CrashEvidence evidence;
+
+	private int requestCount;
+
+	@BeforeMethod
+	public void setUp() {
+		this.evidence = new CrashEvidence();
+	}
+
+	private static List<PromptPartId> parts(String text) {
+		return Stream.of(text.split(" ")).map(PromptPartId::new).toList();
+	}
+
+	private static Optional<Set<PromptPartId>> cause(String text) {
+		return Optional.of(parts(text).stream().collect(Collectors.toSet()));
+	}
+
+	private LostCall lose(String target, String partsText, long atMillis) {
+		LostCall call = new LostCall(new TargetId(target), "r-" + this.requestCount++, parts(partsText), atMillis);
+		assertTrue(this.evidence.addLostCall(call, atMillis));
+		return call;
+	}
+
+	private boolean start(String target, String partsText, long atMillis) {
+		return this.evidence.recordStart(new StartedAnswer(new TargetId(target), parts(partsText), atMillis));
+	}
+
+	private void startOthers(long atMillis) {
+		for (int answer = 0; answer < 5; answer++) {
+			start("t-other", "other" + answer, atMillis);
+		}
+	}
+
+	private Optional<Set<PromptPartId>> findCause(Quarantine... quarantines) {
+		return this.evidence.findCause(List.of(quarantines), LONG_AFTER_MILLIS);
+	}
+
+	@Test
+	public void partOfThreeCrashesIsTheCauseWhenItsOtherPartsHaveBegunElsewhere() {
+		lose("t-1", "common dead x", 1000);
+		lose("t-2", "common dead y", 3000);
+		startOthers(3500);
+		assertEquals(findCause(), Optional.empty());
+		lose("t-3", "common dead x", 5000);
+		start("t-4", "common x", 5500);
+		assertEquals(findCause(), cause("dead"));
+	}
+
+	@Test
+	public void partsThatAlwaysOccurTogetherAreQuarantinedOnlyTogether() {
+		lose("t-1", "common dead x", 1000);
+		lose("t-2", "common dead y", 3000);
+		lose("t-3", "common dead z", 5000);
+		startOthers(5500);
+		assertEquals(findCause(), cause("common dead"));
+	}
+
+	@Test
+	public void oneMoreCrashNarrowsAQuarantineThatWasTooSpecific() {
+		lose("t-1", "common dead x", 1000);
+		lose("t-2", "common dead x", 3000);
+		lose("t-3", "common dead x", 5000);
+		startOthers(5500);
+		Quarantine specific = new Quarantine(findCause().orElseThrow(), LONG_AFTER_MILLIS);
+		assertEquals(findCause(specific), Optional.empty());
+		lose("t-4", "other dead y", 7000);
+		assertEquals(findCause(specific), cause("dead"));
+	}
+
+	@Test
+	public void soundCallsLostInAnExplainedCrashAreNoCause() {
+		lose("t-1", "common dead x", 1000);
+		lose("t-2", "common dead y", 3000);
+		lose("t-3", "common dead z", 5000);
+		lose("t-3", "common sound", 5010);
+		startOthers(5500);
+		Quarantine quarantine = new Quarantine(findCause().orElseThrow(), LONG_AFTER_MILLIS);
+		assertEquals(quarantine.parts(), cause("common dead").get());
+		assertEquals(findCause(quarantine), Optional.empty());
+	}
+
+	@Test
+	public void partWhoseAnswerBeganBetweenTheCrashesIsNotTheCause() {
+		lose("t-1", "popular", 1000);
+		assertTrue(start("t-2", "popular", 1800));
+		lose("t-2", "popular", 3000);
+		lose("t-3", "popular", 5000);
+		startOthers(5500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void enginesThatCrashTogetherCountOnce() {
+		for (int target = 1; target <= 6; target++) {
+			lose("t-" + target, "popular", 1000 + target * 50);
+		}
+		startOthers(1500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void engineThatAnswersRightAfterTheLossHasNotCrashed() {
+		for (int second = 1; second <= 9; second += 2) {
+			lose("t-" + second, "unlucky", second * 1000);
+			assertTrue(start("t-" + second, "other", second * 1000 + 600));
+		}
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void reportThatArrivesAfterTheContradictingAnswerIsContradicted() {
+		assertFalse(start("t-1", "popular", 1200));
+		lose("t-1", "popular", 1000);
+		assertEquals(this.evidence.contradictionsSince(0).size(), 1);
+	}
+
+	@Test
+	public void serviceThatBeginsHardlyAnyAnswerIsNotTheFaultOfThePrompts() {
+		lose("t-1", "a", 1000);
+		lose("t-2", "a", 3000);
+		lose("t-3", "a", 5000);
+		start("t-4", "b", 5500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void singleTargetThatLosesCallsIsNotTheFaultOfThePrompts() {
+		lose("t-1", "a", 1000);
+		lose("t-1", "a", 3000);
+		lose("t-1", "a", 5000);
+		startOthers(5500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void crashIsJudgedOnlyAfterReportsOfOtherRoutersHadTimeToArrive() {
+		lose("t-1", "dead", 1000);
+		lose("t-2", "dead", 3000);
+		lose("t-3", "dead", 5000);
+		startOthers(5050);
+		assertEquals(this.evidence.findCause(List.of(), 5100), Optional.empty());
+		assertEquals(this.evidence.findCause(List.of(), 5500), cause("dead"));
+	}
+
+	@Test
+	public void repeatedReportIsNotNew() {
+		LostCall call = lose("t-1", "dead", 1000);
+		assertFalse(this.evidence.addLostCall(call, 1500));
+		assertFalse(this.evidence.addLostCall(new LostCall(call.target(), "r", List.of(), 1000), 1500));
+		assertEquals(this.evidence.lostCallsSince(999), List.of(call));
+		assertEquals(this.evidence.lostCallsSince(1000), List.of());
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -36,6 +36,8 @@
 import org.mustardlane.gateway.knowledge.Topic;
 import org.mustardlane.gateway.knowledge.TopicFollower;
 import org.mustardlane.gateway.peer.PeerGossip;
+import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.QuarantineRecords;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.LogEvent;
@@ -115,6 +117,8 @@
 
 	private final LoopLag loopLag = new LoopLag(MAINTENANCE_INTERVAL_MILLIS, this.clock.nowMillis());
 
+	private final PromptQuarantine quarantine;
+
 	private final RoutingState routingState;
 
 	private final TargetClient targetClient;
@@ -131,6 +135,8 @@
 
 	private final TopicFollower routersFollower;
 
+	private final TopicFollower quarantinesFollower;
+
 	private final RecordLog recordLog;
 
 	private volatile Optional<PeerGossip> peerGossip = Optional.empty();
@@ -155,10 +161,11 @@
 	public Gateway(GatewaySettings settings, GatewayAdapter adapter) {
 		this.settings = settings;
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
+		this.quarantine = new PromptQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::routerCount, this.loopLag,
-				settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
+				this.quarantine, settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this::shutdownDeadlineMillis);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
@@ -172,6 +179,11 @@
 				this.loop);
 		this.routersFollower = new TopicFollower(this.recordLog, Topic.ROUTERS, ReadPolicy.INFREQUENT,
 				new RoutersListener(this::addPeer, this.log), this.loop);
+		QuarantineRecords quarantineRecords = new QuarantineRecords(this.quarantine, this.recordLog, this.loop,
+				this.log);
+		this.quarantine.addListener(quarantineRecords);
+		this.quarantinesFollower = new TopicFollower(this.recordLog, Topic.QUARANTINES, ReadPolicy.RARE_CHANGES,
+				quarantineRecords, this.loop);
 		this.pauseDetector = new PauseDetector(this.clock, System::currentTimeMillis);
 	}
 
@@ -206,6 +218,7 @@
 		startHealthServer(this.settings.healthAddress());
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
+		this.loop.execute(this.quarantinesFollower::start);
 		this.loop.scheduleAtFixedRate(this::runMaintenanceSafely, MAINTENANCE_INTERVAL_MILLIS,
 				MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		// Callers are waiting after a power loss, so everything that serves them starts
@@ -226,6 +239,7 @@
 		this.metrics.open();
 		this.metrics.registerOpenCalls(this.callRouter::openCalls);
 		this.metrics.registerRoutesVersion(this.routingState::routesVersion);
+		this.metrics.registerQuarantines(() -> this.quarantine.active().size());
 		this.metrics.registerReadyTargets(() -> this.routingState.targets().readyCount());
 	}
 
@@ -258,8 +272,8 @@
 	private void startPeers() throws IOException {
 		InetSocketAddress address = this.settings.peerAddress();
 		PeerGossip gossip = new PeerGossip(this.settings.vm(), this.settings.seeds(), this.routingState,
-				this.context.loads(), new PeerDialer(Optional.empty(), this.eventLoops), this.loop, this.clock,
-				this.log);
+				this.context.loads(), this.quarantine, new PeerDialer(Optional.empty(), this.eventLoops), this.loop,
+				this.clock, this.log);
 		GrpcServer server = GrpcServer.start(address, Optional.empty(), this.eventLoops, gossip);
 		this.peerGossip = Optional.of(gossip);
 		PeerAddress ownAddress = new PeerAddress(address.getHostString(), server.port());
@@ -296,6 +310,7 @@
 	private void runMaintenance() {
 		this.loopLag.tick(this.clock.nowMillis());
 		this.routingState.expireTargets();
+		this.quarantine.evaluate();
 		this.context.loads().retain(this.routingState.targets().targetIds());
 		this.targetClient.closeExpired();
 		this.pauseDetector.check().ifPresent((pause) -> {
@@ -305,6 +320,7 @@
 			// complete.
 			this.routesFollower.start();
 			this.targetsFollower.start();
+			this.quarantinesFollower.start();
 			this.targetClient.closeIdle();
 		});
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.placement.LoadSample;
@@ -188,6 +189,7 @@
 		// Comments and parts of an event are no progress of a stream.
 		if (!sink.isEventStream() || !sink.lastEventId().equals(previousEventId)) {
 			this.lastReceivedMillis = this.context.nowMillis();
+			this.exchange.recordProgress(this.target, false);
 		}
 	}
 
@@ -198,11 +200,17 @@
 			return;
 		}
 		finish();
+		if (HttpStatusClass.SUCCESS.contains(this.status)) {
+			this.exchange.recordProgress(this.target, true);
+		}
 		this.exchange.endCompletedCall(this.status);
 	}
 
 	@Override
 	public void onFailure(CallFailure failure, String detail) {
+		if (failure != CallFailure.NOT_SENT) {
+			this.exchange.recordLostConnection(this.target);
+		}
 		if (failure == CallFailure.DROPPED_CONNECTION) {
 			// The end of an idle connection says nothing about the health of the target.
 			this.context.client().recordDroppedConnection(this.target);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -35,6 +35,8 @@
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
+	static final String QUARANTINE_REASON = "The prompt has a part that crashes engines";
+
 	private final ExchangeContext context;
 
 	private final Supplier<OptionalLong> shutdownDeadlineMillis;
@@ -85,7 +87,15 @@
 		if (table.requiresKey(route.get()) && findOrganisation(table, head).isEmpty()) {
 			return Optional.of(Rejection.permanent(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
 		}
-		return findShutdownRejection(route.get());
+		return findQuarantineRejection(head).or(() -> findShutdownRejection(route.get()));
+	}
+
+	private Optional<Rejection> findQuarantineRejection(CallHead head) {
+		return this.context.quarantine().remainingMillis(head.sharedParts()).map((remainingMillis) -> {
+			this.context.metrics().recordQuarantinedCall();
+			return Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), QUARANTINE_REASON,
+					remainingMillis);
+		});
 	}
 
 	private Optional<Rejection> findShutdownRejection(Route route) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -15,7 +15,8 @@
 import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.placement.PlacementRequest;
-import org.mustardlane.core.placement.SharedPrefix;
+import org.mustardlane.core.quarantine.LostCall;
+import org.mustardlane.core.quarantine.StartedAnswer;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
@@ -43,6 +44,12 @@
 
 	private static final int LAG_DELAY_MILLIS = 2;
 
+	/**
+	 * Number of events after which a target has survived the begin of its answer. It may
+	 * crash after the first one is on its way.
+	 */
+	private static final int BEGUN_EVENTS = 2;
+
 	private final ExchangeContext context;
 
 	private final RoutedCall routedCall;
@@ -65,6 +72,8 @@
 
 	private int sendCount;
 
+	private boolean answerBegun;
+
 	private boolean ended;
 
 	Exchange(ExchangeContext context, RoutedCall routedCall, CallerChannel caller, Runnable onEnd) {
@@ -107,6 +116,12 @@
 	}
 
 	private void dispatch() {
+		Optional<Long> quarantineMillis = this.answerBegun ? Optional.empty()
+				: this.context.quarantine().remainingMillis(sharedParts());
+		if (quarantineMillis.isPresent()) {
+			giveUp(CallRouter.QUARANTINE_REASON, quarantineMillis.get());
+			return;
+		}
 		Optional<TargetEntry> target = chooseTarget();
 		if (target.isEmpty()) {
 			giveUp("No target takes the call");
@@ -256,12 +271,36 @@
 	}
 
 	private String partsText() {
-		return this.routedCall.prefix()
-			.map(SharedPrefix::parts)
-			.orElse(List.of())
-			.stream()
-			.map(PromptPartId::value)
-			.collect(Collectors.joining(" "));
+		return sharedParts().stream().map(PromptPartId::value).collect(Collectors.joining(" "));
+	}
+
+	private List<PromptPartId> sharedParts() {
+		return this.routedCall.call().head().sharedParts();
+	}
+
+	/**
+	 * Records that a target ended its connection. If the answer had not begun, the prompt
+	 * may have crashed the target.
+	 * @param target the target
+	 */
+	void recordLostConnection(TargetEntry target) {
+		if (!this.answerBegun) {
+			this.context.quarantine()
+				.recordLoss(new LostCall(target.id(), requestId(), sharedParts(), this.context.nowMillis()));
+		}
+	}
+
+	/**
+	 * Records that a target has sent a further part of the answer.
+	 * @param target the target
+	 * @param complete whether the answer is complete
+	 */
+	void recordProgress(TargetEntry target, boolean complete) {
+		if (this.answerBegun || (!complete && this.responseSink.eventCount() < BEGUN_EVENTS)) {
+			return;
+		}
+		this.answerBegun = true;
+		this.context.quarantine().recordStart(new StartedAnswer(target.id(), sharedParts(), this.context.nowMillis()));
 	}
 
 	/**
@@ -318,6 +357,10 @@
 	}
 
 	private void giveUp(String detail) {
+		giveUp(detail, RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+	}
+
+	private void giveUp(String detail, long retryAfterMillis) {
 		if (this.responseSink.isStarted()) {
 			endCall(CallOutcome.BROKEN_OFF, 0, detail);
 			this.caller.abort();
@@ -326,13 +369,17 @@
 			failCall(HttpResponseStatus.BAD_GATEWAY, detail);
 		}
 		else {
-			refuseCall(detail, CallOutcome.REFUSED);
+			refuseCall(detail, CallOutcome.REFUSED, retryAfterMillis);
 		}
 	}
 
 	private void refuseCall(String detail, CallOutcome outcome) {
+		refuseCall(detail, outcome, RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+	}
+
+	private void refuseCall(String detail, CallOutcome outcome, long retryAfterMillis) {
 		Rejection rejection = Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), detail,
-				RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+				retryAfterMillis);
 		endCall(outcome, rejection.status(), detail);
 		this.caller.reject(rejection);
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -19,6 +19,7 @@
 import org.mustardlane.core.retry.RetryLimits;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.RoutingState;
+import org.mustardlane.gateway.quarantine.PromptQuarantine;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.target.TargetClient;
@@ -62,6 +63,8 @@
 
 	private final LoopLag loopLag;
 
+	private final PromptQuarantine quarantine;
+
 	private final Map<PoolId, RetryBudget> retryBudgets = new HashMap<>();
 
 	/**
@@ -76,12 +79,14 @@
 	 * @param retryLimits supplies the limits of the retries to one pool
 	 * @param routerCount supplies the number of routers that share the limits
 	 * @param loopLag detects that the event loop lags
+	 * @param quarantine refuses prompts that crash engines
 	 * @param domain failure domain of this router
 	 * @param random supplies random numbers from 0 (inclusive) to 1 (exclusive)
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			IntSupplier routerCount, LoopLag loopLag, DomainId domain, DoubleSupplier random) {
+			IntSupplier routerCount, LoopLag loopLag, PromptQuarantine quarantine, DomainId domain,
+			DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
 		this.dialect = dialect;
@@ -92,6 +97,7 @@
 		this.retryLimits = retryLimits;
 		this.routerCount = routerCount;
 		this.loopLag = loopLag;
+		this.quarantine = quarantine;
 		this.domain = domain;
 		this.random = random;
 		this.placementPolicy = new PrefixPolicy(new LeastLoadedPolicy(random));
@@ -167,6 +173,10 @@
 		return this.loads;
 	}
 
+	PromptQuarantine quarantine() {
+		return this.quarantine;
+	}
+
 	PrefixHolders prefixHolders() {
 		return this.prefixHolders;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
@@ -15,6 +15,12 @@
 	 */
 	public static final ReadPolicy INFREQUENT = new ReadPolicy(0, 15_000);
 
+	/**
+	 * For a topic that hardly ever changes and whose records also arrive from other
+	 * routers.
+	 */
+	public static final ReadPolicy RARE_CHANGES = new ReadPolicy(10_000, 0);
+
 	/**
 	 * Duration of a long poll as a factor of the limit for route changes. A dead
 	 * connection must be noticed within that limit plus the time for which a router must
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Topic.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Topic.java
@@ -18,6 +18,11 @@
 	/**
 	 * Addresses at which routers listen for each other.
 	 */
-	ROUTERS
+	ROUTERS,
+
+	/**
+	 * Quarantines of parts of prompts, published by routers.
+	 */
+	QUARANTINES
 
 }
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/EvidenceCodec.java
@@ -0,0 +1,79 @@
+package org.mustardlane.gateway.peer;
+
+import java.util.List;
+
+import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.quarantine.LostCall;
+import org.mustardlane.core.quarantine.StartedAnswer;
+import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.QuarantineRecords;
+import org.mustardlane.protocol.KnowledgeDigest;
+import org.mustardlane.protocol.LostCallReport;
+import org.mustardlane.protocol.QuarantineRecord;
+import org.mustardlane.protocol.StartedAnswerReport;
+
+/**
+ * Converts what routers know about prompts that crash engines to and from gRPC messages.
+ */
+final class EvidenceCodec {
+
+	private EvidenceCodec() {
+	}
+
+	/**
+	 * Adds recent evidence and the quarantines in force to a digest.
+	 * @param digest digest to add to
+	 * @param quarantine what this router knows
+	 * @param nowMillis current time
+	 */
+	static void addTo(KnowledgeDigest.Builder digest, PromptQuarantine quarantine, long nowMillis) {
+		quarantine.recentLostCalls()
+			.forEach((call) -> digest.addLostCalls(LostCallReport.newBuilder()
+				.setTarget(call.target().value())
+				.setRequestId(call.requestId())
+				.addAllParts(names(call.parts()))
+				.setAgeMillis(ageMillis(call.lostAtMillis(), nowMillis))));
+		quarantine.recentContradictions()
+			.forEach((answer) -> digest.addStartedAnswers(StartedAnswerReport.newBuilder()
+				.setTarget(answer.target().value())
+				.addAllParts(names(answer.parts()))
+				.setAgeMillis(ageMillis(answer.startedAtMillis(), nowMillis))));
+		quarantine.active().forEach((active) -> digest.addQuarantines(QuarantineRecords.encode(active)));
+	}
+
+	private static int ageMillis(long atMillis, long nowMillis) {
+		return (int) Math.max(0, nowMillis - atMillis);
+	}
+
+	private static List<String> names(List<PromptPartId> parts) {
+		return parts.stream().map(PromptPartId::value).toList();
+	}
+
+	private static List<PromptPartId> parts(List<String> names) {
+		return names.stream().map(PromptPartId::new).toList();
+	}
+
+	/**
+	 * Applies the evidence and the quarantines of a peer.
+	 * @param digest digest of the peer
+	 * @param sender the VM of the peer, for the log
+	 * @param quarantine what this router knows
+	 * @param nowMillis current time
+	 * @throws IllegalArgumentException if a target or a part has an empty id
+	 */
+	static void apply(KnowledgeDigest digest, String sender, PromptQuarantine quarantine, long nowMillis) {
+		for (LostCallReport report : digest.getLostCallsList()) {
+			quarantine.recordLoss(new LostCall(new TargetId(report.getTarget()), report.getRequestId(),
+					parts(report.getPartsList()), nowMillis - report.getAgeMillis()));
+		}
+		for (StartedAnswerReport report : digest.getStartedAnswersList()) {
+			quarantine.recordRelayedStart(new StartedAnswer(new TargetId(report.getTarget()),
+					parts(report.getPartsList()), nowMillis - report.getAgeMillis()));
+		}
+		for (QuarantineRecord message : digest.getQuarantinesList()) {
+			quarantine.add(QuarantineRecords.decode(message), sender);
+		}
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -13,9 +13,12 @@
 
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.placement.LoadTable;
+import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.RoutingState;
+import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.protocol.KnowledgeDigest;
@@ -34,7 +37,7 @@
  * intervals until an update reaches all routers grows with the logarithm of their number.
  * Confined to the event loop of the daemon.
  */
-public final class PeerGossip extends KnowledgeServiceGrpc.KnowledgeServiceImplBase {
+public final class PeerGossip extends KnowledgeServiceGrpc.KnowledgeServiceImplBase implements QuarantineListener {
 
 	private static final int INTERVAL_MILLIS = 1000;
 
@@ -43,6 +46,11 @@
 	 */
 	private static final int URGENT_INTERVAL_MILLIS = 400;
 
+	/**
+	 * A crash is reported by several calls at once.
+	 */
+	private static final int PUSH_DELAY_MILLIS = 50;
+
 	private static final int CALL_TIMEOUT_MILLIS = 700;
 
 	/**
@@ -61,6 +69,8 @@
 
 	private final LoadTable loads;
 
+	private final PromptQuarantine quarantine;
+
 	private final PeerDialer dialer;
 
 	private final EventLoop loop;
@@ -69,6 +79,8 @@
 
 	private final DecisionLog log;
 
+	private boolean pushScheduled;
+
 	private final Map<PeerAddress, ManagedChannel> channels = new LinkedHashMap<>(16, 0.75f, true);
 
 	/**
@@ -77,17 +89,19 @@
 	 * @param seeds routers to contact while no other router is known
 	 * @param routingState routes and targets to exchange
 	 * @param loads loads to relay and to update
+	 * @param quarantine evidence and quarantines to exchange
 	 * @param dialer opens gRPC channels
 	 * @param loop event loop of the daemon
 	 * @param clock monotonic clock
 	 * @param log log of decisions
 	 */
 	public PeerGossip(VmId ownVm, List<PeerAddress> seeds, RoutingState routingState, LoadTable loads,
-			PeerDialer dialer, EventLoop loop, MonotonicClock clock, DecisionLog log) {
+			PromptQuarantine quarantine, PeerDialer dialer, EventLoop loop, MonotonicClock clock, DecisionLog log) {
 		this.ownVm = ownVm;
 		this.registry = new PeerRegistry(ownVm, seeds);
 		this.routingState = routingState;
 		this.loads = loads;
+		this.quarantine = quarantine;
 		this.dialer = dialer;
 		this.loop = loop;
 		this.clock = clock;
@@ -104,9 +118,30 @@
 			.setHost(address.host())
 			.setPort(address.port())
 			.build();
+		this.quarantine.addListener(this);
 		runRound();
 	}
 
+	@Override
+	public void onNews() {
+		if (this.pushScheduled) {
+			return;
+		}
+		this.pushScheduled = true;
+		this.loop.schedule(this::pushDigest, PUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void onDecision(Quarantine decision) {
+		onNews();
+	}
+
+	private void pushDigest() {
+		this.pushScheduled = false;
+		KnowledgeDigest digest = createDigest();
+		this.registry.neighbours(this.clock.nowMillis()).forEach((peer) -> sendDigest(peer, digest));
+	}
+
 	private void runRound() {
 		long nowMillis = this.clock.nowMillis();
 		boolean isUrgent = this.routingState.needsPeerRecords();
@@ -180,6 +215,7 @@
 			.setTargetsOffset(this.routingState.peerRequestOffset())
 			.setLogLost(this.routingState.needsPeerRecords());
 		DigestCodec.addLoads(digest, this.loads, this.clock.nowMillis());
+		EvidenceCodec.addTo(digest, this.quarantine, this.clock.nowMillis());
 		return digest.build();
 	}
 
@@ -208,6 +244,16 @@
 		List<KeyedRecord> relayedTargets = digest.getTargetsList().stream().map(DigestCodec::decode).toList();
 		this.routingState.applyRelayedTargets(relayedTargets);
 		DigestCodec.applyLoads(digest, this.loads, this.clock.nowMillis());
+		applyEvidence(digest, sender);
+	}
+
+	private void applyEvidence(KnowledgeDigest digest, VmId sender) {
+		try {
+			EvidenceCodec.apply(digest, sender.value(), this.quarantine, this.clock.nowMillis());
+		}
+		catch (IllegalArgumentException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", sender, "reason", ex);
+		}
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
@@ -112,6 +112,17 @@
 				: Optional.of(candidates.get((int) (random.getAsDouble() * choices)));
 	}
 
+	/**
+	 * Returns the neighbours of this router, to which urgent news go at once. Each
+	 * forwards them to its own neighbours.
+	 * @param nowMillis current time
+	 * @return the addresses of the neighbours that may be contacted now
+	 */
+	List<PeerAddress> neighbours(long nowMillis) {
+		List<PeerAddress> candidates = addresses((peer) -> nowMillis >= peer.nextAttemptMillis);
+		return candidates.subList(0, Math.min(NEIGHBOUR_COUNT, candidates.size()));
+	}
+
 	// Nearest neighbours first. The order differs from router to router.
 	private List<PeerAddress> addresses(Predicate<Peer> filter) {
 		List<PeerAddress> addresses = new ArrayList<>();
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
@@ -0,0 +1,184 @@
+package org.mustardlane.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.quarantine.CrashEvidence;
+import org.mustardlane.core.quarantine.LostCall;
+import org.mustardlane.core.quarantine.Quarantine;
+import org.mustardlane.core.quarantine.QuarantineTable;
+import org.mustardlane.core.quarantine.StartedAnswer;
+import org.mustardlane.gateway.knowledge.MonotonicClock;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.LogEvent;
+
+/**
+ * The evidence and the quarantines that this router knows.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+public final class PromptQuarantine {
+
+	/**
+	 * Time for operators to remove the cause. Afterwards the part must crash engines
+	 * again to be refused again.
+	 */
+	private static final int QUARANTINE_MILLIS = 600_000;
+
+	/**
+	 * Other routers have received older evidence long ago.
+	 */
+	private static final int SHARED_MILLIS = 30_000;
+
+	private final MonotonicClock clock;
+
+	private final LongSupplier unixMillis;
+
+	private final DecisionLog log;
+
+	private final CrashEvidence evidence = new CrashEvidence();
+
+	private final QuarantineTable table = new QuarantineTable();
+
+	private final List<QuarantineListener> listeners = new ArrayList<>();
+
+	/**
+	 * Creates an instance that knows nothing.
+	 * @param clock monotonic clock
+	 * @param unixMillis supplies the wall clock time in milliseconds
+	 * @param log log of decisions
+	 */
+	public PromptQuarantine(MonotonicClock clock, LongSupplier unixMillis, DecisionLog log) {
+		this.clock = clock;
+		this.unixMillis = unixMillis;
+		this.log = log;
+	}
+
+	/**
+	 * Adds a listener.
+	 * @param listener the listener
+	 */
+	public void addListener(QuarantineListener listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Records a lost call.
+	 * @param call the call
+	 */
+	public void recordLoss(LostCall call) {
+		if (this.evidence.addLostCall(call, this.clock.nowMillis())) {
+			notifyNews();
+		}
+	}
+
+	/**
+	 * Records an answer that began at this router.
+	 * @param answer the answer
+	 */
+	public void recordStart(StartedAnswer answer) {
+		notifyIfContradicted(answer, this.evidence.recordStart(answer));
+	}
+
+	/**
+	 * Records an answer that began at another router.
+	 * @param answer the answer
+	 */
+	public void recordRelayedStart(StartedAnswer answer) {
+		notifyIfContradicted(answer, this.evidence.recordRelayedStart(answer));
+	}
+
+	private void notifyIfContradicted(StartedAnswer answer, boolean contradicts) {
+		if (contradicts) {
+			this.log.write(LogEvent.CRASH_EVIDENCE_CONTRADICTED, "target", answer.target(), "parts",
+					joinParts(answer.parts()));
+			notifyNews();
+		}
+	}
+
+	/**
+	 * Adds a quarantine that another router has decided on.
+	 * @param quarantine the quarantine
+	 * @param source source of the quarantine, for the log
+	 */
+	public void add(Quarantine quarantine, String source) {
+		if (this.table.add(quarantine, this.unixMillis.getAsLong())) {
+			logAdded(quarantine, source);
+			notifyNews();
+		}
+	}
+
+	/**
+	 * Decides on quarantines for the crashes so far. To be called several times a second.
+	 */
+	public void evaluate() {
+		long nowUnixMillis = this.unixMillis.getAsLong();
+		Optional<Set<PromptPartId>> cause = this.evidence.findCause(this.table.active(nowUnixMillis),
+				this.clock.nowMillis());
+		if (cause.isEmpty()) {
+			return;
+		}
+		Quarantine quarantine = new Quarantine(cause.get(), nowUnixMillis + QUARANTINE_MILLIS);
+		this.table.add(quarantine, nowUnixMillis);
+		logAdded(quarantine, "crashes");
+		this.listeners.forEach((listener) -> listener.onDecision(quarantine));
+		notifyNews();
+	}
+
+	private void logAdded(Quarantine quarantine, String source) {
+		this.log.warn(LogEvent.QUARANTINE_ADDED, "parts", joinParts(quarantine.parts()), "endUnixMillis",
+				quarantine.endUnixMillis(), "source", source);
+	}
+
+	private static String joinParts(Iterable<PromptPartId> parts) {
+		List<String> names = new ArrayList<>();
+		parts.forEach((part) -> names.add(part.value()));
+		return names.stream().sorted().collect(Collectors.joining(" "));
+	}
+
+	private void notifyNews() {
+		this.listeners.forEach(QuarantineListener::onNews);
+	}
+
+	/**
+	 * Returns for how long calls with a prompt must not be sent.
+	 * @param promptParts the shared parts of the prompt
+	 * @return the remaining time in milliseconds, or empty if the call may be sent
+	 */
+	public Optional<Long> remainingMillis(List<PromptPartId> promptParts) {
+		long nowUnixMillis = this.unixMillis.getAsLong();
+		return this.table.find(promptParts, nowUnixMillis)
+			.map((quarantine) -> quarantine.endUnixMillis() - nowUnixMillis);
+	}
+
+	/**
+	 * Returns the lost calls that other routers should know.
+	 * @return the calls
+	 */
+	public List<LostCall> recentLostCalls() {
+		return this.evidence.lostCallsSince(this.clock.nowMillis() - SHARED_MILLIS);
+	}
+
+	/**
+	 * Returns the answers that contradict evidence and that other routers should know.
+	 * @return the answers
+	 */
+	public List<StartedAnswer> recentContradictions() {
+		return this.evidence.contradictionsSince(this.clock.nowMillis() - SHARED_MILLIS);
+	}
+
+	/**
+	 * Returns the quarantines in force.
+	 * @return an immutable copy
+	 */
+	public List<Quarantine> active() {
+		return this.table.active(this.unixMillis.getAsLong());
+	}
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineListener.java
@@ -0,0 +1,23 @@
+package org.mustardlane.gateway.quarantine;
+
+import org.mustardlane.core.quarantine.Quarantine;
+
+/**
+ * Receives what other routers should know about prompts that crash engines. Called on the
+ * event loop of the daemon.
+ */
+public interface QuarantineListener {
+
+	/**
+	 * Called when this router has learnt of a lost call, a contradicting answer or a
+	 * quarantine.
+	 */
+	void onNews();
+
+	/**
+	 * Called when this router itself has decided on a quarantine.
+	 * @param quarantine the quarantine
+	 */
+	void onDecision(Quarantine quarantine);
+
+}
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -0,0 +1,142 @@
+package org.mustardlane.gateway.quarantine;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
+
+import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.model.common.RendezvousHash;
+import org.mustardlane.core.quarantine.Quarantine;
+import org.mustardlane.gateway.knowledge.KeyedRecord;
+import org.mustardlane.gateway.knowledge.RecordLog;
+import org.mustardlane.gateway.knowledge.Topic;
+import org.mustardlane.gateway.knowledge.TopicListener;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.LogEvent;
+import org.mustardlane.protocol.QuarantineRecord;
+
+/**
+ * Stores quarantines in the platform's log and reads those of other routers, also of
+ * routers that cannot be reached and of processes before a restart.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+public final class QuarantineRecords implements TopicListener, QuarantineListener {
+
+	private static final int APPEND_RETRY_MILLIS = 1000;
+
+	private final PromptQuarantine quarantine;
+
+	private final RecordLog recordLog;
+
+	private final EventLoop loop;
+
+	private final DecisionLog log;
+
+	/**
+	 * Creates an instance.
+	 * @param quarantine receives the quarantines of other routers
+	 * @param recordLog client of the log
+	 * @param loop event loop of the daemon
+	 * @param log log of decisions
+	 */
+	public QuarantineRecords(PromptQuarantine quarantine, RecordLog recordLog, EventLoop loop, DecisionLog log) {
+		this.quarantine = quarantine;
+		this.recordLog = recordLog;
+		this.loop = loop;
+		this.log = log;
+	}
+
+	@Override
+	public void onNews() {
+		// Evidence is short-lived and goes to other routers only.
+	}
+
+	@Override
+	public void onDecision(Quarantine decision) {
+		append(decision);
+	}
+
+	private void append(Quarantine decision) {
+		this.recordLog.append(Topic.QUARANTINES, keyOf(decision), encode(decision).toByteArray())
+			.whenComplete((ignored, failure) -> {
+				if (failure != null) {
+					this.loop.schedule(() -> retryAppend(decision, failure), APPEND_RETRY_MILLIS,
+							TimeUnit.MILLISECONDS);
+				}
+			});
+	}
+
+	private void retryAppend(Quarantine decision, Throwable failure) {
+		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.QUARANTINES, "reason",
+				failure.getMessage());
+		if (this.quarantine.active().contains(decision)) {
+			append(decision);
+		}
+	}
+
+	private static String keyOf(Quarantine decision) {
+		String parts = decision.parts().stream().map(PromptPartId::value).sorted().collect(Collectors.joining(" "));
+		return Long.toHexString(RendezvousHash.hash(parts));
+	}
+
+	/**
+	 * Encodes a quarantine.
+	 * @param quarantine the quarantine
+	 * @return the message
+	 */
+	public static QuarantineRecord encode(Quarantine quarantine) {
+		return QuarantineRecord.newBuilder()
+			.addAllParts(quarantine.parts().stream().map(PromptPartId::value).sorted().toList())
+			.setEndUnixMillis(quarantine.endUnixMillis())
+			.build();
+	}
+
+	/**
+	 * Decodes a quarantine.
+	 * @param message the message
+	 * @return the quarantine
+	 * @throws IllegalArgumentException if the message has no parts or an empty one
+	 */
+	public static Quarantine decode(QuarantineRecord message) {
+		Set<PromptPartId> parts = message.getPartsList().stream().map(PromptPartId::new).collect(Collectors.toSet());
+		return new Quarantine(parts, message.getEndUnixMillis());
+	}
+
+	@Override
+	public void onSnapshot(List<KeyedRecord> records, long endOffset) {
+		onRecords(records);
+	}
+
+	@Override
+	public void onRecords(List<KeyedRecord> records) {
+		for (KeyedRecord logRecord : records) {
+			logRecord.body().ifPresent((body) -> apply(logRecord, body));
+		}
+	}
+
+	private void apply(KeyedRecord logRecord, byte[] body) {
+		try {
+			this.quarantine.add(decode(QuarantineRecord.parseFrom(body)), "log");
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
+		}
+	}
+
+	@Override
+	public void onUnavailable(String reason) {
+		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.QUARANTINES, "reason", reason);
+	}
+
+	@Override
+	public void onAvailable() {
+		this.log.write(LogEvent.DEPENDENCY_REGAINED, "dependency", "log", "topic", Topic.QUARANTINES);
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/GatewayMetrics.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/GatewayMetrics.java
@@ -126,6 +126,21 @@
 			.register(openRegistry());
 	}
 
+	/**
+	 * Counts a call that is refused because of a quarantine.
+	 */
+	public void recordQuarantinedCall() {
+		update(() -> openRegistry().counter("mustardlane.calls.quarantined").increment());
+	}
+
+	/**
+	 * Registers the gauge of the quarantines in force.
+	 * @param supplier supplies the number of quarantines
+	 */
+	public void registerQuarantines(IntSupplier supplier) {
+		Gauge.builder("mustardlane.quarantines", supplier::getAsInt).register(openRegistry());
+	}
+
 	/**
 	 * Registers the gauge of the calls in progress.
 	 * @param supplier supplies the number of calls
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -50,6 +50,17 @@
 	 */
 	RECORD_REJECTED("record-rejected"),
 
+	/**
+	 * Calls with certain parts in their prompts are refused from now on.
+	 */
+	QUARANTINE_ADDED("quarantine-added"),
+
+	/**
+	 * An answer has begun that shows that a part of its prompt, or its target, has not
+	 * crashed.
+	 */
+	CRASH_EVIDENCE_CONTRADICTED("crash-evidence-contradicted"),
+
 	/**
 	 * The process was paused.
 	 */
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
@@ -1,8 +1,10 @@
 package org.mustardlane.gateway.wire;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.placement.SharedPrefix;
 
 /**
@@ -20,4 +22,12 @@
 public record CallHead(String requestId, String host, String path, Optional<String> apiKey, OptionalLong timeoutMillis,
 		Optional<SharedPrefix> prefix) {
 
+	/**
+	 * Returns the parts of the prompt that other calls share.
+	 * @return the parts in order, empty if there are none
+	 */
+	public List<PromptPartId> sharedParts() {
+		return this.prefix.map(SharedPrefix::parts).orElse(List.of());
+	}
+
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
@@ -30,6 +30,9 @@
   private KnowledgeDigest() {
     targets_ = java.util.Collections.emptyList();
     loads_ = java.util.Collections.emptyList();
+    lostCalls_ = java.util.Collections.emptyList();
+    startedAnswers_ = java.util.Collections.emptyList();
+    quarantines_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -81,7 +84,7 @@
   private long routesVersion_ = 0L;
   /**
    * <pre>
-   * Version of the routes that the sender has in force; -1 for none.
+   * Version of the routes in force at the sender; -1 for none.
    * </pre>
    *
    * <code>int64 routes_version = 2;</code>
@@ -96,7 +99,7 @@
   private long targetsOffset_ = 0L;
   /**
    * <pre>
-   * Highest offset of a target's record that the sender knows; -1 for none.
+   * Highest log offset of a target record that the sender has applied; -1 for none.
    * </pre>
    *
    * <code>int64 targets_offset = 3;</code>
@@ -111,7 +114,7 @@
   private boolean logLost_ = false;
   /**
    * <pre>
-   * The sender can not read the platform's log at present.
+   * True if the sender currently cannot read the platform's log.
    * </pre>
    *
    * <code>bool log_lost = 4;</code>
@@ -126,7 +129,7 @@
   private org.mustardlane.protocol.LogRecord routes_;
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -138,7 +141,7 @@
   }
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -150,7 +153,7 @@
   }
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -165,7 +168,7 @@
   private java.util.List<org.mustardlane.protocol.LogRecord> targets_;
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -176,7 +179,7 @@
   }
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -188,7 +191,7 @@
   }
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -199,7 +202,7 @@
   }
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -210,7 +213,7 @@
   }
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -226,7 +229,7 @@
   private java.util.List<org.mustardlane.protocol.StatedLoad> loads_;
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -237,7 +240,7 @@
   }
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -249,7 +252,7 @@
   }
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -260,7 +263,7 @@
   }
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -271,7 +274,7 @@
   }
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -282,6 +285,189 @@
     return loads_.get(index);
   }
 
+  public static final int LOST_CALLS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mustardlane.protocol.LostCallReport> lostCalls_;
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mustardlane.protocol.LostCallReport> getLostCallsList() {
+    return lostCalls_;
+  }
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mustardlane.protocol.LostCallReportOrBuilder> 
+      getLostCallsOrBuilderList() {
+    return lostCalls_;
+  }
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  @java.lang.Override
+  public int getLostCallsCount() {
+    return lostCalls_.size();
+  }
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.LostCallReport getLostCalls(int index) {
+    return lostCalls_.get(index);
+  }
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.LostCallReportOrBuilder getLostCallsOrBuilder(
+      int index) {
+    return lostCalls_.get(index);
+  }
+
+  public static final int STARTED_ANSWERS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mustardlane.protocol.StartedAnswerReport> startedAnswers_;
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mustardlane.protocol.StartedAnswerReport> getStartedAnswersList() {
+    return startedAnswers_;
+  }
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
+      getStartedAnswersOrBuilderList() {
+    return startedAnswers_;
+  }
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  @java.lang.Override
+  public int getStartedAnswersCount() {
+    return startedAnswers_.size();
+  }
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index) {
+    return startedAnswers_.get(index);
+  }
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+      int index) {
+    return startedAnswers_.get(index);
+  }
+
+  public static final int QUARANTINES_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mustardlane.protocol.QuarantineRecord> quarantines_;
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mustardlane.protocol.QuarantineRecord> getQuarantinesList() {
+    return quarantines_;
+  }
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mustardlane.protocol.QuarantineRecordOrBuilder> 
+      getQuarantinesOrBuilderList() {
+    return quarantines_;
+  }
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  @java.lang.Override
+  public int getQuarantinesCount() {
+    return quarantines_.size();
+  }
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.QuarantineRecord getQuarantines(int index) {
+    return quarantines_.get(index);
+  }
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.QuarantineRecordOrBuilder getQuarantinesOrBuilder(
+      int index) {
+    return quarantines_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -317,6 +503,15 @@
     for (int i = 0; i < loads_.size(); i++) {
       output.writeMessage(7, loads_.get(i));
     }
+    for (int i = 0; i < lostCalls_.size(); i++) {
+      output.writeMessage(8, lostCalls_.get(i));
+    }
+    for (int i = 0; i < startedAnswers_.size(); i++) {
+      output.writeMessage(9, startedAnswers_.get(i));
+    }
+    for (int i = 0; i < quarantines_.size(); i++) {
+      output.writeMessage(10, quarantines_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -359,6 +554,33 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = lostCalls_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(lostCalls_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = startedAnswers_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(startedAnswers_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = quarantines_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(quarantines_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -403,6 +625,12 @@
         .equals(other.getTargetsList())) return false;
     if (!getLoadsList()
         .equals(other.getLoadsList())) return false;
+    if (!getLostCallsList()
+        .equals(other.getLostCallsList())) return false;
+    if (!getStartedAnswersList()
+        .equals(other.getStartedAnswersList())) return false;
+    if (!getQuarantinesList()
+        .equals(other.getQuarantinesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -439,6 +667,18 @@
       hash = (37 * hash) + LOADS_FIELD_NUMBER;
       hash = (53 * hash) + getLoadsList().hashCode();
     }
+    if (getLostCallsCount() > 0) {
+      hash = (37 * hash) + LOST_CALLS_FIELD_NUMBER;
+      hash = (53 * hash) + getLostCallsList().hashCode();
+    }
+    if (getStartedAnswersCount() > 0) {
+      hash = (37 * hash) + STARTED_ANSWERS_FIELD_NUMBER;
+      hash = (53 * hash) + getStartedAnswersList().hashCode();
+    }
+    if (getQuarantinesCount() > 0) {
+      hash = (37 * hash) + QUARANTINES_FIELD_NUMBER;
+      hash = (53 * hash) + getQuarantinesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -573,6 +813,9 @@
         internalGetRoutesFieldBuilder();
         internalGetTargetsFieldBuilder();
         internalGetLoadsFieldBuilder();
+        internalGetLostCallsFieldBuilder();
+        internalGetStartedAnswersFieldBuilder();
+        internalGetQuarantinesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -606,6 +849,27 @@
         loadsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      if (lostCallsBuilder_ == null) {
+        lostCalls_ = java.util.Collections.emptyList();
+      } else {
+        lostCalls_ = null;
+        lostCallsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      if (startedAnswersBuilder_ == null) {
+        startedAnswers_ = java.util.Collections.emptyList();
+      } else {
+        startedAnswers_ = null;
+        startedAnswersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (quarantinesBuilder_ == null) {
+        quarantines_ = java.util.Collections.emptyList();
+      } else {
+        quarantines_ = null;
+        quarantinesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -657,6 +921,33 @@
       } else {
         result.loads_ = loadsBuilder_.build();
       }
+      if (lostCallsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          lostCalls_ = java.util.Collections.unmodifiableList(lostCalls_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.lostCalls_ = lostCalls_;
+      } else {
+        result.lostCalls_ = lostCallsBuilder_.build();
+      }
+      if (startedAnswersBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          startedAnswers_ = java.util.Collections.unmodifiableList(startedAnswers_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.startedAnswers_ = startedAnswers_;
+      } else {
+        result.startedAnswers_ = startedAnswersBuilder_.build();
+      }
+      if (quarantinesBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          quarantines_ = java.util.Collections.unmodifiableList(quarantines_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.quarantines_ = quarantines_;
+      } else {
+        result.quarantines_ = quarantinesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.mustardlane.protocol.KnowledgeDigest result) {
@@ -765,6 +1056,84 @@
           }
         }
       }
+      if (lostCallsBuilder_ == null) {
+        if (!other.lostCalls_.isEmpty()) {
+          if (lostCalls_.isEmpty()) {
+            lostCalls_ = other.lostCalls_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureLostCallsIsMutable();
+            lostCalls_.addAll(other.lostCalls_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.lostCalls_.isEmpty()) {
+          if (lostCallsBuilder_.isEmpty()) {
+            lostCallsBuilder_.dispose();
+            lostCallsBuilder_ = null;
+            lostCalls_ = other.lostCalls_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            lostCallsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLostCallsFieldBuilder() : null;
+          } else {
+            lostCallsBuilder_.addAllMessages(other.lostCalls_);
+          }
+        }
+      }
+      if (startedAnswersBuilder_ == null) {
+        if (!other.startedAnswers_.isEmpty()) {
+          if (startedAnswers_.isEmpty()) {
+            startedAnswers_ = other.startedAnswers_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureStartedAnswersIsMutable();
+            startedAnswers_.addAll(other.startedAnswers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.startedAnswers_.isEmpty()) {
+          if (startedAnswersBuilder_.isEmpty()) {
+            startedAnswersBuilder_.dispose();
+            startedAnswersBuilder_ = null;
+            startedAnswers_ = other.startedAnswers_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            startedAnswersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStartedAnswersFieldBuilder() : null;
+          } else {
+            startedAnswersBuilder_.addAllMessages(other.startedAnswers_);
+          }
+        }
+      }
+      if (quarantinesBuilder_ == null) {
+        if (!other.quarantines_.isEmpty()) {
+          if (quarantines_.isEmpty()) {
+            quarantines_ = other.quarantines_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureQuarantinesIsMutable();
+            quarantines_.addAll(other.quarantines_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.quarantines_.isEmpty()) {
+          if (quarantinesBuilder_.isEmpty()) {
+            quarantinesBuilder_.dispose();
+            quarantinesBuilder_ = null;
+            quarantines_ = other.quarantines_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            quarantinesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetQuarantinesFieldBuilder() : null;
+          } else {
+            quarantinesBuilder_.addAllMessages(other.quarantines_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -844,6 +1213,45 @@
               }
               break;
             } // case 58
+            case 66: {
+              org.mustardlane.protocol.LostCallReport m =
+                  input.readMessage(
+                      org.mustardlane.protocol.LostCallReport.parser(),
+                      extensionRegistry);
+              if (lostCallsBuilder_ == null) {
+                ensureLostCallsIsMutable();
+                lostCalls_.add(m);
+              } else {
+                lostCallsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 74: {
+              org.mustardlane.protocol.StartedAnswerReport m =
+                  input.readMessage(
+                      org.mustardlane.protocol.StartedAnswerReport.parser(),
+                      extensionRegistry);
+              if (startedAnswersBuilder_ == null) {
+                ensureStartedAnswersIsMutable();
+                startedAnswers_.add(m);
+              } else {
+                startedAnswersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              org.mustardlane.protocol.QuarantineRecord m =
+                  input.readMessage(
+                      org.mustardlane.protocol.QuarantineRecord.parser(),
+                      extensionRegistry);
+              if (quarantinesBuilder_ == null) {
+                ensureQuarantinesIsMutable();
+                quarantines_.add(m);
+              } else {
+                quarantinesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -983,7 +1391,7 @@
     private long routesVersion_ ;
     /**
      * <pre>
-     * Version of the routes that the sender has in force; -1 for none.
+     * Version of the routes in force at the sender; -1 for none.
      * </pre>
      *
      * <code>int64 routes_version = 2;</code>
@@ -995,7 +1403,7 @@
     }
     /**
      * <pre>
-     * Version of the routes that the sender has in force; -1 for none.
+     * Version of the routes in force at the sender; -1 for none.
      * </pre>
      *
      * <code>int64 routes_version = 2;</code>
@@ -1011,7 +1419,7 @@
     }
     /**
      * <pre>
-     * Version of the routes that the sender has in force; -1 for none.
+     * Version of the routes in force at the sender; -1 for none.
      * </pre>
      *
      * <code>int64 routes_version = 2;</code>
@@ -1027,7 +1435,7 @@
     private long targetsOffset_ ;
     /**
      * <pre>
-     * Highest offset of a target's record that the sender knows; -1 for none.
+     * Highest log offset of a target record that the sender has applied; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -1039,7 +1447,7 @@
     }
     /**
      * <pre>
-     * Highest offset of a target's record that the sender knows; -1 for none.
+     * Highest log offset of a target record that the sender has applied; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -1055,7 +1463,7 @@
     }
     /**
      * <pre>
-     * Highest offset of a target's record that the sender knows; -1 for none.
+     * Highest log offset of a target record that the sender has applied; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -1071,7 +1479,7 @@
     private boolean logLost_ ;
     /**
      * <pre>
-     * The sender can not read the platform's log at present.
+     * True if the sender currently cannot read the platform's log.
      * </pre>
      *
      * <code>bool log_lost = 4;</code>
@@ -1083,7 +1491,7 @@
     }
     /**
      * <pre>
-     * The sender can not read the platform's log at present.
+     * True if the sender currently cannot read the platform's log.
      * </pre>
      *
      * <code>bool log_lost = 4;</code>
@@ -1099,7 +1507,7 @@
     }
     /**
      * <pre>
-     * The sender can not read the platform's log at present.
+     * True if the sender currently cannot read the platform's log.
      * </pre>
      *
      * <code>bool log_lost = 4;</code>
@@ -1117,7 +1525,7 @@
         org.mustardlane.protocol.LogRecord, org.mustardlane.protocol.LogRecord.Builder, org.mustardlane.protocol.LogRecordOrBuilder> routesBuilder_;
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1128,7 +1536,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1143,7 +1551,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1161,7 +1569,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1179,7 +1587,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1204,7 +1612,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1221,7 +1629,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1233,7 +1641,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1248,7 +1656,7 @@
     }
     /**
      * <pre>
-     * The routes, where the receiver is known to have an older version.
+     * The routes; set if the receiver is known to have an older version.
      * </pre>
      *
      * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -1281,7 +1689,7 @@
 
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1295,7 +1703,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1309,7 +1717,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1323,7 +1731,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1342,7 +1750,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1360,7 +1768,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1378,7 +1786,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1397,7 +1805,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1415,7 +1823,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1433,7 +1841,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1452,7 +1860,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1469,7 +1877,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1486,7 +1894,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1497,7 +1905,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1511,7 +1919,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1526,7 +1934,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1537,7 +1945,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1549,7 +1957,7 @@
     }
     /**
      * <pre>
-     * Records of targets that the receiver does not have, where it can not read the log.
+     * Target records that the receiver lacks; set if the receiver cannot read the log.
      * </pre>
      *
      * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -1587,7 +1995,7 @@
 
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1601,7 +2009,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1615,7 +2023,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1629,7 +2037,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1648,7 +2056,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1666,7 +2074,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1684,7 +2092,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1703,7 +2111,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1721,7 +2129,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1739,7 +2147,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1758,7 +2166,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1775,7 +2183,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1792,7 +2200,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1803,7 +2211,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1817,7 +2225,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1832,7 +2240,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1843,7 +2251,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1855,7 +2263,7 @@
     }
     /**
      * <pre>
-     * Loads that targets stated to the sender or its peers in the last seconds.
+     * Loads that targets reported to the sender or its peers in the last seconds.
      * </pre>
      *
      * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -1879,6 +2287,924 @@
       return loadsBuilder_;
     }
 
+    private java.util.List<org.mustardlane.protocol.LostCallReport> lostCalls_ =
+      java.util.Collections.emptyList();
+    private void ensureLostCallsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        lostCalls_ = new java.util.ArrayList<org.mustardlane.protocol.LostCallReport>(lostCalls_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.LostCallReport, org.mustardlane.protocol.LostCallReport.Builder, org.mustardlane.protocol.LostCallReportOrBuilder> lostCallsBuilder_;
+
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.LostCallReport> getLostCallsList() {
+      if (lostCallsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(lostCalls_);
+      } else {
+        return lostCallsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public int getLostCallsCount() {
+      if (lostCallsBuilder_ == null) {
+        return lostCalls_.size();
+      } else {
+        return lostCallsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public org.mustardlane.protocol.LostCallReport getLostCalls(int index) {
+      if (lostCallsBuilder_ == null) {
+        return lostCalls_.get(index);
+      } else {
+        return lostCallsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder setLostCalls(
+        int index, org.mustardlane.protocol.LostCallReport value) {
+      if (lostCallsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLostCallsIsMutable();
+        lostCalls_.set(index, value);
+        onChanged();
+      } else {
+        lostCallsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder setLostCalls(
+        int index, org.mustardlane.protocol.LostCallReport.Builder builderForValue) {
+      if (lostCallsBuilder_ == null) {
+        ensureLostCallsIsMutable();
+        lostCalls_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        lostCallsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder addLostCalls(org.mustardlane.protocol.LostCallReport value) {
+      if (lostCallsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLostCallsIsMutable();
+        lostCalls_.add(value);
+        onChanged();
+      } else {
+        lostCallsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder addLostCalls(
+        int index, org.mustardlane.protocol.LostCallReport value) {
+      if (lostCallsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLostCallsIsMutable();
+        lostCalls_.add(index, value);
+        onChanged();
+      } else {
+        lostCallsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder addLostCalls(
+        org.mustardlane.protocol.LostCallReport.Builder builderForValue) {
+      if (lostCallsBuilder_ == null) {
+        ensureLostCallsIsMutable();
+        lostCalls_.add(builderForValue.build());
+        onChanged();
+      } else {
+        lostCallsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder addLostCalls(
+        int index, org.mustardlane.protocol.LostCallReport.Builder builderForValue) {
+      if (lostCallsBuilder_ == null) {
+        ensureLostCallsIsMutable();
+        lostCalls_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        lostCallsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder addAllLostCalls(
+        java.lang.Iterable<? extends org.mustardlane.protocol.LostCallReport> values) {
+      if (lostCallsBuilder_ == null) {
+        ensureLostCallsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, lostCalls_);
+        onChanged();
+      } else {
+        lostCallsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder clearLostCalls() {
+      if (lostCallsBuilder_ == null) {
+        lostCalls_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        lostCallsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public Builder removeLostCalls(int index) {
+      if (lostCallsBuilder_ == null) {
+        ensureLostCallsIsMutable();
+        lostCalls_.remove(index);
+        onChanged();
+      } else {
+        lostCallsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public org.mustardlane.protocol.LostCallReport.Builder getLostCallsBuilder(
+        int index) {
+      return internalGetLostCallsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public org.mustardlane.protocol.LostCallReportOrBuilder getLostCallsOrBuilder(
+        int index) {
+      if (lostCallsBuilder_ == null) {
+        return lostCalls_.get(index);  } else {
+        return lostCallsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public java.util.List<? extends org.mustardlane.protocol.LostCallReportOrBuilder> 
+         getLostCallsOrBuilderList() {
+      if (lostCallsBuilder_ != null) {
+        return lostCallsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(lostCalls_);
+      }
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public org.mustardlane.protocol.LostCallReport.Builder addLostCallsBuilder() {
+      return internalGetLostCallsFieldBuilder().addBuilder(
+          org.mustardlane.protocol.LostCallReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public org.mustardlane.protocol.LostCallReport.Builder addLostCallsBuilder(
+        int index) {
+      return internalGetLostCallsFieldBuilder().addBuilder(
+          index, org.mustardlane.protocol.LostCallReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent calls that were lost because their engine ended the connection.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.LostCallReport.Builder> 
+         getLostCallsBuilderList() {
+      return internalGetLostCallsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.LostCallReport, org.mustardlane.protocol.LostCallReport.Builder, org.mustardlane.protocol.LostCallReportOrBuilder> 
+        internalGetLostCallsFieldBuilder() {
+      if (lostCallsBuilder_ == null) {
+        lostCallsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mustardlane.protocol.LostCallReport, org.mustardlane.protocol.LostCallReport.Builder, org.mustardlane.protocol.LostCallReportOrBuilder>(
+                lostCalls_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        lostCalls_ = null;
+      }
+      return lostCallsBuilder_;
+    }
+
+    private java.util.List<org.mustardlane.protocol.StartedAnswerReport> startedAnswers_ =
+      java.util.Collections.emptyList();
+    private void ensureStartedAnswersIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        startedAnswers_ = new java.util.ArrayList<org.mustardlane.protocol.StartedAnswerReport>(startedAnswers_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder> startedAnswersBuilder_;
+
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.StartedAnswerReport> getStartedAnswersList() {
+      if (startedAnswersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(startedAnswers_);
+      } else {
+        return startedAnswersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public int getStartedAnswersCount() {
+      if (startedAnswersBuilder_ == null) {
+        return startedAnswers_.size();
+      } else {
+        return startedAnswersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index) {
+      if (startedAnswersBuilder_ == null) {
+        return startedAnswers_.get(index);
+      } else {
+        return startedAnswersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder setStartedAnswers(
+        int index, org.mustardlane.protocol.StartedAnswerReport value) {
+      if (startedAnswersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.set(index, value);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder setStartedAnswers(
+        int index, org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
+      if (startedAnswersBuilder_ == null) {
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        startedAnswersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder addStartedAnswers(org.mustardlane.protocol.StartedAnswerReport value) {
+      if (startedAnswersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.add(value);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder addStartedAnswers(
+        int index, org.mustardlane.protocol.StartedAnswerReport value) {
+      if (startedAnswersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.add(index, value);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder addStartedAnswers(
+        org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
+      if (startedAnswersBuilder_ == null) {
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        startedAnswersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder addStartedAnswers(
+        int index, org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
+      if (startedAnswersBuilder_ == null) {
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        startedAnswersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder addAllStartedAnswers(
+        java.lang.Iterable<? extends org.mustardlane.protocol.StartedAnswerReport> values) {
+      if (startedAnswersBuilder_ == null) {
+        ensureStartedAnswersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, startedAnswers_);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder clearStartedAnswers() {
+      if (startedAnswersBuilder_ == null) {
+        startedAnswers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public Builder removeStartedAnswers(int index) {
+      if (startedAnswersBuilder_ == null) {
+        ensureStartedAnswersIsMutable();
+        startedAnswers_.remove(index);
+        onChanged();
+      } else {
+        startedAnswersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public org.mustardlane.protocol.StartedAnswerReport.Builder getStartedAnswersBuilder(
+        int index) {
+      return internalGetStartedAnswersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+        int index) {
+      if (startedAnswersBuilder_ == null) {
+        return startedAnswers_.get(index);  } else {
+        return startedAnswersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
+         getStartedAnswersOrBuilderList() {
+      if (startedAnswersBuilder_ != null) {
+        return startedAnswersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(startedAnswers_);
+      }
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public org.mustardlane.protocol.StartedAnswerReport.Builder addStartedAnswersBuilder() {
+      return internalGetStartedAnswersFieldBuilder().addBuilder(
+          org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public org.mustardlane.protocol.StartedAnswerReport.Builder addStartedAnswersBuilder(
+        int index) {
+      return internalGetStartedAnswersFieldBuilder().addBuilder(
+          index, org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Answers that contradict what the lost calls suggest.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.StartedAnswerReport.Builder> 
+         getStartedAnswersBuilderList() {
+      return internalGetStartedAnswersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
+        internalGetStartedAnswersFieldBuilder() {
+      if (startedAnswersBuilder_ == null) {
+        startedAnswersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder>(
+                startedAnswers_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        startedAnswers_ = null;
+      }
+      return startedAnswersBuilder_;
+    }
+
+    private java.util.List<org.mustardlane.protocol.QuarantineRecord> quarantines_ =
+      java.util.Collections.emptyList();
+    private void ensureQuarantinesIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        quarantines_ = new java.util.ArrayList<org.mustardlane.protocol.QuarantineRecord>(quarantines_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.QuarantineRecord, org.mustardlane.protocol.QuarantineRecord.Builder, org.mustardlane.protocol.QuarantineRecordOrBuilder> quarantinesBuilder_;
+
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.QuarantineRecord> getQuarantinesList() {
+      if (quarantinesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(quarantines_);
+      } else {
+        return quarantinesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public int getQuarantinesCount() {
+      if (quarantinesBuilder_ == null) {
+        return quarantines_.size();
+      } else {
+        return quarantinesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public org.mustardlane.protocol.QuarantineRecord getQuarantines(int index) {
+      if (quarantinesBuilder_ == null) {
+        return quarantines_.get(index);
+      } else {
+        return quarantinesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder setQuarantines(
+        int index, org.mustardlane.protocol.QuarantineRecord value) {
+      if (quarantinesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQuarantinesIsMutable();
+        quarantines_.set(index, value);
+        onChanged();
+      } else {
+        quarantinesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder setQuarantines(
+        int index, org.mustardlane.protocol.QuarantineRecord.Builder builderForValue) {
+      if (quarantinesBuilder_ == null) {
+        ensureQuarantinesIsMutable();
+        quarantines_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        quarantinesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder addQuarantines(org.mustardlane.protocol.QuarantineRecord value) {
+      if (quarantinesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQuarantinesIsMutable();
+        quarantines_.add(value);
+        onChanged();
+      } else {
+        quarantinesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder addQuarantines(
+        int index, org.mustardlane.protocol.QuarantineRecord value) {
+      if (quarantinesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQuarantinesIsMutable();
+        quarantines_.add(index, value);
+        onChanged();
+      } else {
+        quarantinesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder addQuarantines(
+        org.mustardlane.protocol.QuarantineRecord.Builder builderForValue) {
+      if (quarantinesBuilder_ == null) {
+        ensureQuarantinesIsMutable();
+        quarantines_.add(builderForValue.build());
+        onChanged();
+      } else {
+        quarantinesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder addQuarantines(
+        int index, org.mustardlane.protocol.QuarantineRecord.Builder builderForValue) {
+      if (quarantinesBuilder_ == null) {
+        ensureQuarantinesIsMutable();
+        quarantines_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        quarantinesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder addAllQuarantines(
+        java.lang.Iterable<? extends org.mustardlane.protocol.QuarantineRecord> values) {
+      if (quarantinesBuilder_ == null) {
+        ensureQuarantinesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, quarantines_);
+        onChanged();
+      } else {
+        quarantinesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder clearQuarantines() {
+      if (quarantinesBuilder_ == null) {
+        quarantines_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        quarantinesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public Builder removeQuarantines(int index) {
+      if (quarantinesBuilder_ == null) {
+        ensureQuarantinesIsMutable();
+        quarantines_.remove(index);
+        onChanged();
+      } else {
+        quarantinesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public org.mustardlane.protocol.QuarantineRecord.Builder getQuarantinesBuilder(
+        int index) {
+      return internalGetQuarantinesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public org.mustardlane.protocol.QuarantineRecordOrBuilder getQuarantinesOrBuilder(
+        int index) {
+      if (quarantinesBuilder_ == null) {
+        return quarantines_.get(index);  } else {
+        return quarantinesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public java.util.List<? extends org.mustardlane.protocol.QuarantineRecordOrBuilder> 
+         getQuarantinesOrBuilderList() {
+      if (quarantinesBuilder_ != null) {
+        return quarantinesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(quarantines_);
+      }
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public org.mustardlane.protocol.QuarantineRecord.Builder addQuarantinesBuilder() {
+      return internalGetQuarantinesFieldBuilder().addBuilder(
+          org.mustardlane.protocol.QuarantineRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public org.mustardlane.protocol.QuarantineRecord.Builder addQuarantinesBuilder(
+        int index) {
+      return internalGetQuarantinesFieldBuilder().addBuilder(
+          index, org.mustardlane.protocol.QuarantineRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Quarantines in force.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.QuarantineRecord.Builder> 
+         getQuarantinesBuilderList() {
+      return internalGetQuarantinesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.QuarantineRecord, org.mustardlane.protocol.QuarantineRecord.Builder, org.mustardlane.protocol.QuarantineRecordOrBuilder> 
+        internalGetQuarantinesFieldBuilder() {
+      if (quarantinesBuilder_ == null) {
+        quarantinesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mustardlane.protocol.QuarantineRecord, org.mustardlane.protocol.QuarantineRecord.Builder, org.mustardlane.protocol.QuarantineRecordOrBuilder>(
+                quarantines_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        quarantines_ = null;
+      }
+      return quarantinesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.KnowledgeDigest)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
@@ -27,7 +27,7 @@
 
   /**
    * <pre>
-   * Version of the routes that the sender has in force; -1 for none.
+   * Version of the routes in force at the sender; -1 for none.
    * </pre>
    *
    * <code>int64 routes_version = 2;</code>
@@ -37,7 +37,7 @@
 
   /**
    * <pre>
-   * Highest offset of a target's record that the sender knows; -1 for none.
+   * Highest log offset of a target record that the sender has applied; -1 for none.
    * </pre>
    *
    * <code>int64 targets_offset = 3;</code>
@@ -47,7 +47,7 @@
 
   /**
    * <pre>
-   * The sender can not read the platform's log at present.
+   * True if the sender currently cannot read the platform's log.
    * </pre>
    *
    * <code>bool log_lost = 4;</code>
@@ -57,7 +57,7 @@
 
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -66,7 +66,7 @@
   boolean hasRoutes();
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -75,7 +75,7 @@
   org.mustardlane.protocol.LogRecord getRoutes();
   /**
    * <pre>
-   * The routes, where the receiver is known to have an older version.
+   * The routes; set if the receiver is known to have an older version.
    * </pre>
    *
    * <code>.mustardlane.LogRecord routes = 5;</code>
@@ -84,7 +84,7 @@
 
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -93,7 +93,7 @@
       getTargetsList();
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -101,7 +101,7 @@
   org.mustardlane.protocol.LogRecord getTargets(int index);
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -109,7 +109,7 @@
   int getTargetsCount();
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -118,7 +118,7 @@
       getTargetsOrBuilderList();
   /**
    * <pre>
-   * Records of targets that the receiver does not have, where it can not read the log.
+   * Target records that the receiver lacks; set if the receiver cannot read the log.
    * </pre>
    *
    * <code>repeated .mustardlane.LogRecord targets = 6;</code>
@@ -128,7 +128,7 @@
 
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -137,7 +137,7 @@
       getLoadsList();
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -145,7 +145,7 @@
   org.mustardlane.protocol.StatedLoad getLoads(int index);
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -153,7 +153,7 @@
   int getLoadsCount();
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
@@ -162,11 +162,143 @@
       getLoadsOrBuilderList();
   /**
    * <pre>
-   * Loads that targets stated to the sender or its peers in the last seconds.
+   * Loads that targets reported to the sender or its peers in the last seconds.
    * </pre>
    *
    * <code>repeated .mustardlane.StatedLoad loads = 7;</code>
    */
   org.mustardlane.protocol.StatedLoadOrBuilder getLoadsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  java.util.List<org.mustardlane.protocol.LostCallReport> 
+      getLostCallsList();
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  org.mustardlane.protocol.LostCallReport getLostCalls(int index);
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  int getLostCallsCount();
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  java.util.List<? extends org.mustardlane.protocol.LostCallReportOrBuilder> 
+      getLostCallsOrBuilderList();
+  /**
+   * <pre>
+   * Recent calls that were lost because their engine ended the connection.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.LostCallReport lost_calls = 8;</code>
+   */
+  org.mustardlane.protocol.LostCallReportOrBuilder getLostCallsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  java.util.List<org.mustardlane.protocol.StartedAnswerReport> 
+      getStartedAnswersList();
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index);
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  int getStartedAnswersCount();
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
+      getStartedAnswersOrBuilderList();
+  /**
+   * <pre>
+   * Answers that contradict what the lost calls suggest.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   */
+  org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  java.util.List<org.mustardlane.protocol.QuarantineRecord> 
+      getQuarantinesList();
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  org.mustardlane.protocol.QuarantineRecord getQuarantines(int index);
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  int getQuarantinesCount();
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  java.util.List<? extends org.mustardlane.protocol.QuarantineRecordOrBuilder> 
+      getQuarantinesOrBuilderList();
+  /**
+   * <pre>
+   * Quarantines in force.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.QuarantineRecord quarantines = 10;</code>
+   */
+  org.mustardlane.protocol.QuarantineRecordOrBuilder getQuarantinesOrBuilder(
+      int index);
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeServiceGrpc.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeServiceGrpc.java
@@ -4,7 +4,7 @@
 
 /**
  * <pre>
- * What routers that serve a platform tell each other: one call every second or so to one peer.
+ * Gossip between routers that serve a platform. Each router calls one peer about once a second.
  * </pre>
  */
 @io.grpc.stub.annotations.GrpcGenerated
@@ -107,7 +107,7 @@
 
   /**
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public interface AsyncService {
@@ -123,7 +123,7 @@
   /**
    * Base class for the server implementation of the service KnowledgeService.
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public static abstract class KnowledgeServiceImplBase
@@ -137,7 +137,7 @@
   /**
    * A stub to allow clients to do asynchronous rpc calls to service KnowledgeService.
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public static final class KnowledgeServiceStub
@@ -165,7 +165,7 @@
   /**
    * A stub to allow clients to do synchronous rpc calls to service KnowledgeService.
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public static final class KnowledgeServiceBlockingV2Stub
@@ -192,7 +192,7 @@
   /**
    * A stub to allow clients to do limited synchronous rpc calls to service KnowledgeService.
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public static final class KnowledgeServiceBlockingStub
@@ -219,7 +219,7 @@
   /**
    * A stub to allow clients to do ListenableFuture-style rpc calls to service KnowledgeService.
    * <pre>
-   * What routers that serve a platform tell each other: one call every second or so to one peer.
+   * Gossip between routers that serve a platform. Each router calls one peer about once a second.
    * </pre>
    */
   public static final class KnowledgeServiceFutureStub
