--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
@@ -19,7 +19,7 @@
 	 * For a topic that hardly ever changes and whose records also arrive from other
 	 * routers.
 	 */
-	public static final ReadPolicy RARE_CHANGES = new ReadPolicy(10_000, 0);
+	public static final ReadPolicy RARE_CHANGES = new ReadPolicy(20_000, 0);
 
 	/**
 	 * Duration of a long poll as a factor of the limit for route changes. A dead
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -1,7 +1,9 @@
 package org.mustardlane.gateway.quarantine;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -28,6 +30,12 @@
  */
 public final class QuarantineRecords implements TopicListener, QuarantineListener {
 
+	/**
+	 * Routers decide on the same quarantine at nearly the same time; one record is
+	 * enough.
+	 */
+	private static final int MAX_APPEND_DELAY_MILLIS = 300;
+
 	private static final int APPEND_RETRY_MILLIS = 1000;
 
 	private final PromptQuarantine quarantine;
@@ -38,6 +46,8 @@
 
 	private final DecisionLog log;
 
+	private final Set<String> storedKeys = new HashSet<>();
+
 	/**
 	 * Creates an instance.
 	 * @param quarantine receives the quarantines of other routers
@@ -59,25 +69,31 @@
 
 	@Override
 	public void onDecision(Quarantine decision) {
-		append(decision);
+		// A record of an earlier quarantine of the same parts has ended.
+		this.storedKeys.remove(keyOf(decision));
+		appendLater(decision, ThreadLocalRandom.current().nextInt(MAX_APPEND_DELAY_MILLIS));
+	}
+
+	private void appendLater(Quarantine decision, int delayMillis) {
+		this.loop.schedule(() -> append(decision), delayMillis, TimeUnit.MILLISECONDS);
 	}
 
 	private void append(Quarantine decision) {
+		if (this.storedKeys.contains(keyOf(decision)) || !this.quarantine.active().contains(decision)) {
+			return;
+		}
 		this.recordLog.append(Topic.QUARANTINES, keyOf(decision), encode(decision).toByteArray())
 			.whenComplete((ignored, failure) -> {
 				if (failure != null) {
-					this.loop.schedule(() -> retryAppend(decision, failure), APPEND_RETRY_MILLIS,
-							TimeUnit.MILLISECONDS);
+					this.loop.execute(() -> handleFailedAppend(decision, failure));
 				}
 			});
 	}
 
-	private void retryAppend(Quarantine decision, Throwable failure) {
+	private void handleFailedAppend(Quarantine decision, Throwable failure) {
 		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.QUARANTINES, "reason",
 				failure.getMessage());
-		if (this.quarantine.active().contains(decision)) {
-			append(decision);
-		}
+		appendLater(decision, APPEND_RETRY_MILLIS);
 	}
 
 	private static String keyOf(Quarantine decision) {
@@ -116,6 +132,7 @@
 	@Override
 	public void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord logRecord : records) {
+			this.storedKeys.add(logRecord.key());
 			logRecord.body().ifPresent((body) -> apply(logRecord, body));
 		}
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
@@ -114,6 +114,27 @@
 		assertTrue(rounds <= limit, rounds + " rounds for " + routers + " routers");
 	}
 
+	// Routers that are no one's neighbour learn the news in their own next rounds.
+	@Test(dataProvider = "fleets")
+	public void pushedNewsReachNearlyAllRoutersInFewHops(int routers, long seed) {
+		List<PeerRegistry> fleet = createFleet(routers);
+		Set<Integer> informed = new HashSet<>(Set.of((int) seed % routers));
+		Set<Integer> latest = informed;
+		int hops = 0;
+		while (!latest.isEmpty()) {
+			hops++;
+			Set<Integer> next = new HashSet<>();
+			latest
+				.forEach((index) -> fleet.get(index).neighbours(0).forEach((address) -> next.add(address.port() - 1)));
+			next.removeAll(informed);
+			informed = new HashSet<>(informed);
+			informed.addAll(next);
+			latest = next;
+		}
+		assertTrue(hops <= 12, hops + " hops for " + routers + " routers");
+		assertTrue(informed.size() >= 0.9 * routers, informed.size() + " of " + routers + " routers");
+	}
+
 	private static boolean isAllTrue(boolean[] values) {
 		for (boolean value : values) {
 			if (!value) {
