Quarantine a part after three crashes in quick succession, take waiting prompts back

Crashes count now if they are 150 ms apart, which still tells them from engines that fail together; calls that wait for their answer are cancelled when their prompt is quarantined, and end as perhaps executed (502).

--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
@@ -37,20 +37,20 @@
 
 	/**
 	 * Several engines may crash together for another reason. Crashes closer than this
-	 * count as one.
+	 * count as one; routers notice the same crash at slightly different times.
 	 */
-	private static final int CRASH_SEPARATION_MILLIS = 1000;
+	private static final int CRASH_SEPARATION_MILLIS = 150;
 
 	/**
 	 * Time that reports of other routers about a crash may take.
 	 */
-	private static final int SETTLE_MILLIS = 400;
+	private static final int SETTLE_MILLIS = 300;
 
 	/**
 	 * Number of answers that must have begun at this router since the first crash. If
 	 * hardly any answer begins, the prompts are not the cause.
 	 */
-	private static final int MIN_OTHER_STARTS = 3;
+	private static final int MIN_OTHER_STARTS = 2;
 
 	/**
 	 * Routers notice the end of a connection, and the last answers, at slightly different
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -167,6 +167,7 @@
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::routerCount, this.loopLag,
 				this.quarantine, settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this::shutdownDeadlineMillis);
+		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
 				() -> this.draining, this.clock, this.log);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -1,12 +1,16 @@
 package org.mustardlane.gateway.exchange;
 
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.PoolSpec;
@@ -19,6 +23,7 @@
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
 
@@ -28,7 +33,7 @@
  * <p>
  * Confined to the event loop of the daemon.
  */
-public final class CallRouter implements CallHandler {
+public final class CallRouter implements CallHandler, QuarantineListener {
 
 	/**
 	 * Short, because another router can serve the call at once.
@@ -43,7 +48,7 @@
 
 	private final long startedAtMillis;
 
-	private int openCalls;
+	private final Set<Exchange> openExchanges = new HashSet<>();
 
 	/**
 	 * Creates a call router.
@@ -143,8 +148,8 @@
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
 				table.version());
-		this.openCalls++;
-		Exchange exchange = new Exchange(this.context, routedCall, caller, () -> this.openCalls--);
+		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
+		this.openExchanges.add(exchange);
 		exchange.start();
 		return exchange;
 	}
@@ -154,7 +159,19 @@
 	 * @return the number of calls
 	 */
 	public int openCalls() {
-		return this.openCalls;
+		return this.openExchanges.size();
+	}
+
+	@Override
+	public void onNews() {
+		if (!this.context.quarantine().active().isEmpty()) {
+			List.copyOf(this.openExchanges).forEach(Exchange::endIfQuarantined);
+		}
+	}
+
+	@Override
+	public void onDecision(Quarantine decision) {
+		onNews();
 	}
 
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpRequest;
@@ -56,7 +57,7 @@
 
 	private final CallerChannel caller;
 
-	private final Runnable onEnd;
+	private final Consumer<Exchange> onEnd;
 
 	private final ResponseSink responseSink;
 
@@ -76,7 +77,7 @@
 
 	private boolean ended;
 
-	Exchange(ExchangeContext context, RoutedCall routedCall, CallerChannel caller, Runnable onEnd) {
+	Exchange(ExchangeContext context, RoutedCall routedCall, CallerChannel caller, Consumer<Exchange> onEnd) {
 		this.context = context;
 		this.routedCall = routedCall;
 		this.caller = caller;
@@ -116,10 +117,8 @@
 	}
 
 	private void dispatch() {
-		Optional<Long> quarantineMillis = this.answerBegun ? Optional.empty()
-				: this.context.quarantine().remainingMillis(sharedParts());
-		if (quarantineMillis.isPresent()) {
-			giveUp(CallRouter.QUARANTINE_REASON, quarantineMillis.get());
+		endIfQuarantined();
+		if (this.ended) {
 			return;
 		}
 		Optional<TargetEntry> target = chooseTarget();
@@ -130,6 +129,23 @@
 		sendTo(target.get());
 	}
 
+	/**
+	 * Ends the call if its prompt is quarantined and its answer has not begun.
+	 */
+	void endIfQuarantined() {
+		if (this.ended || this.answerBegun) {
+			return;
+		}
+		this.context.quarantine().remainingMillis(sharedParts()).ifPresent((remainingMillis) -> {
+			if (this.currentAttempt.filter(Attempt::isSent).isPresent()) {
+				this.possibleExecutions++;
+			}
+			this.currentAttempt.ifPresent(Attempt::cancel);
+			this.currentAttempt = Optional.empty();
+			giveUp(CallRouter.QUARANTINE_REASON, remainingMillis);
+		});
+	}
+
 	private Optional<TargetEntry> chooseTarget() {
 		List<TargetEntry> candidates = this.context.routingState()
 			.targets()
@@ -432,7 +448,7 @@
 					this.routedCall.pool(), "target", this.lastTargetId, "outcome", outcome, "status", status, "runs",
 					this.possibleExecutions, "sends", this.sendCount, "elapsedMillis", elapsedMillis, "routesVersion",
 					this.routedCall.routesVersion(), "detail", detail);
-		this.onEnd.run();
+		this.onEnd.accept(this);
 	}
 
 }
