--- /dev/null
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLimit.java
@@ -0,0 +1,26 @@
+package org.mustardlane.core.placement;
+
+import java.util.OptionalDouble;
+
+/**
+ * What a target last stated about the number of requests that it accepts.
+ *
+ * @param perSecond requests per second from all routers together, empty without a limit
+ * @param statedAtMillis time at which a router received the statement
+ */
+public record TargetLimit(OptionalDouble perSecond, long statedAtMillis) {
+
+	/**
+	 * Stands for a target that has never stated a limit.
+	 */
+	public static final TargetLimit NONE = new TargetLimit(OptionalDouble.empty(), Long.MIN_VALUE / 2);
+
+	/**
+	 * Returns whether the target has a limit.
+	 * @return true if it has
+	 */
+	public boolean isLimited() {
+		return this.perSecond.isPresent();
+	}
+
+}
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
@@ -34,6 +34,8 @@
 
 	private LoadSample sample = LoadSample.NONE;
 
+	private TargetLimit limit = TargetLimit.NONE;
+
 	private int startsSinceSample;
 
 	private int endsSinceSample;
@@ -73,6 +75,29 @@
 		this.endsSinceSample = 0;
 	}
 
+	/**
+	 * Stores the limit that the target states, unless a newer statement is known.
+	 * @param stated the statement
+	 * @return whether the target had a limit before and has none now, or the other way
+	 * round
+	 */
+	public boolean updateLimit(TargetLimit stated) {
+		if (stated.statedAtMillis() <= this.limit.statedAtMillis()) {
+			return false;
+		}
+		boolean changed = stated.isLimited() != this.limit.isLimited();
+		this.limit = stated;
+		return changed;
+	}
+
+	/**
+	 * Returns the newest limit that the target stated.
+	 * @return the limit, or {@link TargetLimit#NONE} if the target has never stated one
+	 */
+	public TargetLimit limit() {
+		return this.limit;
+	}
+
 	/**
 	 * Estimates how many requests the target has running or queued.
 	 * @param nowMillis the current time
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -10,6 +10,7 @@
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.placement.LoadSample;
+import org.mustardlane.core.placement.TargetLimit;
 import org.mustardlane.core.placement.TargetLoad;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.gateway.report.LogEvent;
@@ -79,7 +80,8 @@
 		this.lastReceivedMillis = this.context.nowMillis();
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
-					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText());
+					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
+					limitText(this.load.limit()));
 		TargetCall targetCall = this.context.client()
 			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
@@ -136,6 +138,7 @@
 		this.status = head.status();
 		this.context.loads().domainReachability().recordReachable(this.target.domain());
 		head.load().ifPresent(this.load::updateSample);
+		updateLimit(head, nowMillis);
 		if (head.notExecuted() || head.status() == MISDIRECTED_REQUEST) {
 			this.call.ifPresent(TargetCall::cancel);
 			this.load.recordRejection(nowMillis);
@@ -162,6 +165,24 @@
 		forwardResponse(head);
 	}
 
+	// A rejection may come from another target at the same address, or from one that is
+	// too
+	// busy to state its limit.
+	private void updateLimit(ResponseHead head, long nowMillis) {
+		if (head.status() == MISDIRECTED_REQUEST || (head.notExecuted() && head.limitPerSecond().isEmpty())) {
+			return;
+		}
+		if (this.load.updateLimit(new TargetLimit(head.limitPerSecond(), nowMillis))) {
+			this.context.log()
+				.write(LogEvent.TARGET_LIMIT_CHANGED, "target", this.target.id(), "limitPerSecond",
+						limitText(this.load.limit()), "source", "response");
+		}
+	}
+
+	private static String limitText(TargetLimit limit) {
+		return limit.isLimited() ? Double.toString(limit.perSecond().getAsDouble()) : "";
+	}
+
 	private void handleServerError(ResponseHead head) {
 		if (this.exchange.handleFailedAttempt(AttemptFailure.FAILURE_ANSWERED, false, "status " + head.status())) {
 			this.responseStarted = true;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -61,6 +61,12 @@
 	 */
 	CRASH_EVIDENCE_CONTRADICTED("crash-evidence-contradicted"),
 
+	/**
+	 * A target has stated how many requests per second it accepts, or states no limit any
+	 * more.
+	 */
+	TARGET_LIMIT_CHANGED("target-limit-changed"),
+
 	/**
 	 * The process was paused.
 	 */
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.mustardlane.gateway.wire;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -17,10 +18,13 @@
  * @param contentEncoded whether the body has a content encoding
  * @param eventStream whether the body is a stream of server-sent events
  * @param load load that the target reports, empty if it reports none
+ * @param limitPerSecond requests per second that the target accepts from all routers
+ * together, empty if it states no limit
  * @param headers headers to forward to the caller
  */
 public record ResponseHead(int status, Optional<String> requestId, boolean notExecuted, boolean sealed,
-		boolean contentEncoded, boolean eventStream, Optional<LoadSample> load, HttpHeaders headers) {
+		boolean contentEncoded, boolean eventStream, Optional<LoadSample> load, OptionalDouble limitPerSecond,
+		HttpHeaders headers) {
 
 	private static final int FIRST_SUCCESS = 200;
 
