Keep the requests of all routers within the limit that a target states

Cause: no decision reads the limit.

Change: routers tell each other stated limits at once. No messages are needed for a send. A call for which no target has a permit is refused with the time until the next one.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLimit.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLimit.java
@@ -23,4 +23,12 @@
 		return this.perSecond.isPresent();
 	}
 
+	/**
+	 * Returns the limit for a log line.
+	 * @return the requests per second, empty without a limit
+	 */
+	public String toLogText() {
+		return isLimited() ? Double.toString(this.perSecond.getAsDouble()) : "";
+	}
+
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
@@ -1,5 +1,7 @@
 package org.mustardlane.core.placement;
 
+import java.util.Optional;
+
 /**
  * The load and the health of one target, as known to this router.
  *
@@ -36,6 +38,10 @@
 
 	private TargetLimit limit = TargetLimit.NONE;
 
+	private boolean everLimited;
+
+	private Optional<RateShare> rateShare = Optional.empty();
+
 	private int startsSinceSample;
 
 	private int endsSinceSample;
@@ -48,8 +54,10 @@
 
 	/**
 	 * Records that this router sends a request to the target.
+	 * @param nowMillis the current time
 	 */
-	public void requestStarted() {
+	public void requestStarted(long nowMillis) {
+		this.rateShare.ifPresent((share) -> share.usePermit(nowMillis));
 		this.inFlight++;
 		this.startsSinceSample++;
 	}
@@ -78,18 +86,43 @@
 	/**
 	 * Stores the limit that the target states, unless a newer statement is known.
 	 * @param stated the statement
+	 * @param position this router, which may use a share of the limit
 	 * @return whether the target had a limit before and has none now, or the other way
 	 * round
 	 */
-	public boolean updateLimit(TargetLimit stated) {
+	public boolean updateLimit(TargetLimit stated, FleetPosition position) {
 		if (stated.statedAtMillis() <= this.limit.statedAtMillis()) {
 			return false;
 		}
 		boolean changed = stated.isLimited() != this.limit.isLimited();
 		this.limit = stated;
+		this.everLimited |= stated.isLimited();
+		updateRateShare(position);
 		return changed;
 	}
 
+	private void updateRateShare(FleetPosition position) {
+		if (!this.limit.isLimited()) {
+			this.rateShare = Optional.empty();
+			return;
+		}
+		double perSecond = this.limit.perSecond().getAsDouble();
+		if (this.rateShare.isEmpty()) {
+			this.rateShare = Optional.of(new RateShare(position, perSecond, this.limit.statedAtMillis()));
+		}
+		this.rateShare.get().setRate(position, perSecond, this.limit.statedAtMillis());
+	}
+
+	/**
+	 * Returns the time until this router may send a request without exceeding its share
+	 * of the limit of the target.
+	 * @param nowMillis the current time
+	 * @return the time in milliseconds, 0 if a request may be sent now
+	 */
+	public long millisUntilAdmitted(long nowMillis) {
+		return this.rateShare.map((share) -> share.millisUntilPermit(nowMillis)).orElse(0L);
+	}
+
 	/**
 	 * Returns the newest limit that the target stated.
 	 * @return the limit, or {@link TargetLimit#NONE} if the target has never stated one
@@ -98,6 +131,14 @@
 		return this.limit;
 	}
 
+	/**
+	 * Returns whether the target has ever stated a limit.
+	 * @return true if other routers may believe that the target has a limit
+	 */
+	public boolean wasEverLimited() {
+		return this.everLimited;
+	}
+
 	/**
 	 * Estimates how many requests the target has running or queued.
 	 * @param nowMillis the current time
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
@@ -91,7 +91,7 @@
 		Set<TargetId> usedTargets = new HashSet<>();
 		for (int callNumber = 0; callNumber < 80; callNumber++) {
 			TargetEntry chosen = this.prefixPolicy.choose(request(engines, sharedPrefix(5)), loads).orElseThrow();
-			loads.of(chosen.id()).requestStarted();
+			loads.of(chosen.id()).requestStarted(NOW_MILLIS);
 			usedTargets.add(chosen.id());
 			double meanLoad = (callNumber + 1) / 8.0;
 			assertTrue(loads.of(chosen.id()).inFlight() <= 2 * meanLoad + 3, "call " + callNumber);
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/TargetLoadTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/TargetLoadTests.java
@@ -17,7 +17,7 @@
 	public void estimateIncludesRequestsStartedAndEndedSinceTheSample() {
 		TargetLoad newLoad = new TargetLoad();
 		newLoad.updateSample(new LoadSample(5, 1, 8, 100, 1000));
-		newLoad.requestStarted();
+		newLoad.requestStarted(1000);
 		assertEquals(newLoad.estimate(1500), 7);
 		newLoad.requestEnded();
 		assertEquals(newLoad.estimate(1500), 6);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.apache.logging.log4j.Logger;
 
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.route.RequestLimits;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.exchange.CallRouter;
@@ -75,12 +76,6 @@
 	 */
 	private static final int ROUTING_STATE_TIMEOUT_MILLIS = 1000;
 
-	/**
-	 * Minimum number of routers among which the limits of the fleet are divided. Routers
-	 * that do not know each other yet must not exceed the limits together.
-	 */
-	private static final int MIN_ROUTER_COUNT = 8;
-
 	private static final int PUBLISH_RETRY_MILLIS = 1000;
 
 	/**
@@ -164,8 +159,9 @@
 		this.quarantine = new PromptQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
-				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::routerCount, this.loopLag,
-				this.quarantine, settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
+				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
+				this::announceNews, this.loopLag, this.quarantine, settings.domain(),
+				() -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this::shutdownDeadlineMillis);
 		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
@@ -196,8 +192,12 @@
 		}
 	}
 
-	private int routerCount() {
-		return Math.max(MIN_ROUTER_COUNT, this.peerGossip.map(PeerGossip::routerCount).orElse(MIN_ROUTER_COUNT));
+	private FleetPosition fleetPosition() {
+		return this.peerGossip.map(PeerGossip::position).orElse(PeerGossip.ASSUMED_POSITION);
+	}
+
+	private void announceNews() {
+		this.peerGossip.ifPresent(PeerGossip::onNews);
 	}
 
 	// AsyncHttpClient does not accept the newer event loop groups of Netty.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -76,12 +76,12 @@
 	 * @param body body of the request
 	 */
 	void send(String requestId, HttpMethod method, RequestSource requestSource, byte[] body) {
-		this.load.requestStarted();
 		this.lastReceivedMillis = this.context.nowMillis();
+		this.load.requestStarted(this.lastReceivedMillis);
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
-					limitText(this.load.limit()));
+					this.load.limit().toLogText());
 		TargetCall targetCall = this.context.client()
 			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
@@ -172,17 +172,14 @@
 		if (head.status() == MISDIRECTED_REQUEST || (head.notExecuted() && head.limitPerSecond().isEmpty())) {
 			return;
 		}
-		if (this.load.updateLimit(new TargetLimit(head.limitPerSecond(), nowMillis))) {
+		if (this.load.updateLimit(new TargetLimit(head.limitPerSecond(), nowMillis), this.context.fleetPosition())) {
+			this.context.announceNews();
 			this.context.log()
 				.write(LogEvent.TARGET_LIMIT_CHANGED, "target", this.target.id(), "limitPerSecond",
-						limitText(this.load.limit()), "source", "response");
+						this.load.limit().toLogText(), "source", "response");
 		}
 	}
 
-	private static String limitText(TargetLimit limit) {
-		return limit.isLimited() ? Double.toString(limit.perSecond().getAsDouble()) : "";
-	}
-
 	private void handleServerError(ResponseHead head) {
 		if (this.exchange.handleFailedAttempt(AttemptFailure.FAILURE_ANSWERED, false, "status " + head.status())) {
 			this.responseStarted = true;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -123,7 +124,9 @@
 		}
 		Optional<TargetEntry> target = chooseTarget();
 		if (target.isEmpty()) {
-			giveUp("No target takes the call");
+			long defaultDelayMillis = RetryAfter.refusalDelayMillis(this.context.nextRandom());
+			giveUp("No target takes the call",
+					untriedTargets().mapToLong(this::millisUntilAdmitted).min().orElse(defaultDelayMillis));
 			return;
 		}
 		sendTo(target.get());
@@ -147,17 +150,24 @@
 	}
 
 	private Optional<TargetEntry> chooseTarget() {
-		List<TargetEntry> candidates = this.context.routingState()
-			.targets()
-			.readyTargets(this.routedCall.pool())
-			.stream()
-			.filter((target) -> !this.triedTargets.contains(target.id()))
-			.toList();
+		List<TargetEntry> candidates = untriedTargets().filter((target) -> millisUntilAdmitted(target) == 0).toList();
 		return this.context.placementPolicy()
 			.choose(new PlacementRequest(candidates, this.routedCall.prefix(), this.context.domain(),
 					this.context.nowMillis()), this.context.loads());
 	}
 
+	private Stream<TargetEntry> untriedTargets() {
+		return this.context.routingState()
+			.targets()
+			.readyTargets(this.routedCall.pool())
+			.stream()
+			.filter((target) -> !this.triedTargets.contains(target.id()));
+	}
+
+	private long millisUntilAdmitted(TargetEntry target) {
+		return this.context.loads().of(target.id()).millisUntilAdmitted(this.context.nowMillis());
+	}
+
 	private void sendTo(TargetEntry target) {
 		this.sendCount++;
 		this.triedTargets.add(target.id());
@@ -361,11 +371,7 @@
 	}
 
 	private boolean hasUntriedTarget() {
-		return this.context.routingState()
-			.targets()
-			.readyTargets(this.routedCall.pool())
-			.stream()
-			.anyMatch((target) -> !this.triedTargets.contains(target.id()));
+		return untriedTargets().anyMatch((target) -> millisUntilAdmitted(target) == 0);
 	}
 
 	private CallState callState() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -3,13 +3,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.placement.LeastLoadedPolicy;
 import org.mustardlane.core.placement.LoadTable;
 import org.mustardlane.core.placement.PlacementPolicy;
@@ -49,7 +49,9 @@
 
 	private final Supplier<RetryLimits> retryLimits;
 
-	private final IntSupplier routerCount;
+	private final Supplier<FleetPosition> fleetPosition;
+
+	private final Runnable newsAnnouncer;
 
 	private final DomainId domain;
 
@@ -77,7 +79,9 @@
 	 * @param log log of decisions
 	 * @param metrics metrics of calls and attempts
 	 * @param retryLimits supplies the limits of the retries to one pool
-	 * @param routerCount supplies the number of routers that share the limits
+	 * @param fleetPosition supplies the position of this router among those that share
+	 * the limits
+	 * @param newsAnnouncer lets other routers know at once what this router has learnt
 	 * @param loopLag detects that the event loop lags
 	 * @param quarantine refuses prompts that crash engines
 	 * @param domain failure domain of this router
@@ -85,8 +89,8 @@
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			IntSupplier routerCount, LoopLag loopLag, PromptQuarantine quarantine, DomainId domain,
-			DoubleSupplier random) {
+			Supplier<FleetPosition> fleetPosition, Runnable newsAnnouncer, LoopLag loopLag, PromptQuarantine quarantine,
+			DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
 		this.dialect = dialect;
@@ -95,7 +99,8 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.retryLimits = retryLimits;
-		this.routerCount = routerCount;
+		this.fleetPosition = fleetPosition;
+		this.newsAnnouncer = newsAnnouncer;
 		this.loopLag = loopLag;
 		this.quarantine = quarantine;
 		this.domain = domain;
@@ -117,7 +122,7 @@
 	 * @return true if the retry is allowed
 	 */
 	boolean tryAcquireRetry(PoolId pool) {
-		return retryBudget(pool).tryAcquireRetry(this.retryLimits.get(), this.routerCount.getAsInt(),
+		return retryBudget(pool).tryAcquireRetry(this.retryLimits.get(), fleetPosition().routers(),
 				this.clock.nowMillis());
 	}
 
@@ -173,6 +178,14 @@
 		return this.loads;
 	}
 
+	FleetPosition fleetPosition() {
+		return this.fleetPosition.get();
+	}
+
+	void announceNews() {
+		this.newsAnnouncer.run();
+	}
+
 	PromptQuarantine quarantine() {
 		return this.quarantine;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -11,7 +11,9 @@
 import io.grpc.stub.StreamObserver;
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.placement.LoadTable;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
@@ -51,6 +53,11 @@
 	 */
 	private static final int PUSH_DELAY_MILLIS = 50;
 
+	/**
+	 * Routers that do not know each other yet must not exceed the limits together.
+	 */
+	private static final int MIN_ROUTER_COUNT = 8;
+
 	private static final int CALL_TIMEOUT_MILLIS = 700;
 
 	/**
@@ -59,6 +66,11 @@
 	 */
 	private static final int MAX_CHANNELS = 32;
 
+	/**
+	 * Position while no other router is known.
+	 */
+	public static final FleetPosition ASSUMED_POSITION = new FleetPosition(0, MIN_ROUTER_COUNT);
+
 	private final VmId ownVm;
 
 	private RouterAddress ownAddress = RouterAddress.getDefaultInstance();
@@ -215,6 +227,7 @@
 			.setTargetsOffset(this.routingState.peerRequestOffset())
 			.setLogLost(this.routingState.needsPeerRecords());
 		DigestCodec.addLoads(digest, this.loads, this.clock.nowMillis());
+		LimitCodec.addTo(digest, this.loads, this.clock.nowMillis());
 		EvidenceCodec.addTo(digest, this.quarantine, this.clock.nowMillis());
 		return digest.build();
 	}
@@ -244,9 +257,21 @@
 		List<KeyedRecord> relayedTargets = digest.getTargetsList().stream().map(DigestCodec::decode).toList();
 		this.routingState.applyRelayedTargets(relayedTargets);
 		DigestCodec.applyLoads(digest, this.loads, this.clock.nowMillis());
+		applyLimits(digest, sender);
 		applyEvidence(digest, sender);
 	}
 
+	private void applyLimits(KnowledgeDigest digest, VmId sender) {
+		List<TargetId> changedTargets = LimitCodec.apply(digest, this.loads, position(), this.clock.nowMillis());
+		for (TargetId target : changedTargets) {
+			this.log.write(LogEvent.TARGET_LIMIT_CHANGED, "target", target, "limitPerSecond",
+					this.loads.of(target).limit().toLogText(), "source", sender);
+		}
+		if (!changedTargets.isEmpty()) {
+			onNews();
+		}
+	}
+
 	private void applyEvidence(KnowledgeDigest digest, VmId sender) {
 		try {
 			EvidenceCodec.apply(digest, sender.value(), this.quarantine, this.clock.nowMillis());
@@ -269,12 +294,12 @@
 	}
 
 	/**
-	 * Returns the number of routers that share the limits of the fleet, including this
-	 * router.
-	 * @return the number of routers, at least 1
+	 * Returns the position of this router among the routers that share the limits of the
+	 * fleet.
+	 * @return the position
 	 */
-	public int routerCount() {
-		return this.registry.routerCount();
+	public FleetPosition position() {
+		return this.registry.position(MIN_ROUTER_COUNT);
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
@@ -11,6 +11,7 @@
 
 import org.mustardlane.core.model.common.RendezvousHash;
 import org.mustardlane.core.model.common.VmId;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.router.peer.PeerAddress;
 
 /**
@@ -135,13 +136,15 @@
 	}
 
 	/**
-	 * Returns the number of routers that share the limits of the fleet, including this
-	 * router. Routers that do not reply are counted, because they may still use their
+	 * Returns the position of this router among all routers, which share the limits of
+	 * the fleet. Routers that do not reply are counted, because they may still use their
 	 * share on the other side of a network partition.
-	 * @return the number of routers, at least 1
+	 * @param minRouters number of routers to assume at least
+	 * @return the position
 	 */
-	int routerCount() {
-		return 1 + this.peers.size();
+	FleetPosition position(int minRouters) {
+		int rank = (int) this.peers.keySet().stream().filter((vm) -> vm.compareTo(this.ownVm) < 0).count();
+		return new FleetPosition(rank, Math.max(minRouters, 1 + this.peers.size()));
 	}
 
 	private static final class Peer {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -20,6 +20,7 @@
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.retry.RetryLimits;
 import org.mustardlane.core.route.RequestLimits;
 import org.mustardlane.core.route.RequestSemantics;
@@ -68,8 +69,10 @@
 		this.routingState = new RoutingState(new SingleRouteDecoder(), log, this.nowMillis::get, () -> {
 		});
 		ExchangeContext context = new ExchangeContext(this.loop, this.routingState, null, null, this.nowMillis::get,
-				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> 1, new LoopLag(250, 0),
-				new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log), new DomainId("north"), () -> 0.5);
+				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> new FleetPosition(0, 1),
+				() -> {
+				}, new LoopLag(250, 0), new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log),
+				new DomainId("north"), () -> 0.5);
 		this.router = new CallRouter(context, OptionalLong::empty);
 	}
 
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
@@ -64,7 +64,7 @@
 		for (int failure = 0; failure < 10; failure++) {
 			registry.recordFailure(PEER_ADDRESS, failure * 1000L);
 		}
-		assertEquals(registry.routerCount(), 2);
+		assertEquals(registry.position(1).routers(), 2);
 	}
 
 	@Test
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/SimulatedRouter.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/SimulatedRouter.java
@@ -94,7 +94,7 @@
 				: Optional.empty();
 		double latencyMillis = target.get().domain().equals(this.domain) ? SAME_DOMAIN_LATENCY_MILLIS
 				: CROSS_DOMAIN_LATENCY_MILLIS;
-		this.loads.of(target.get().id()).requestStarted();
+		this.loads.of(target.get().id()).requestStarted(nowMillis);
 		this.simulation.events().schedule(latencyMillis, () -> handleArrival(call, triedTargets, target.get(), source));
 	}
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mustardlane_KnowledgeDigest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mustardlane_StatedLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mustardlane_StatedLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_mustardlane_LostCallReport_descriptor;
   static final 
@@ -70,7 +75,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\017knowledge.proto\022\013mustardlane\"\230\003\n\017Knowl" +
+      "\n\017knowledge.proto\022\013mustardlane\"\302\003\n\017Knowl" +
       "edgeDigest\022*\n\006sender\030\001 \001(\0132\032.mustardlane" +
       ".RouterAddress\022\026\n\016routes_version\030\002 \001(\003\022\026" +
       "\n\016targets_offset\030\003 \001(\003\022\020\n\010log_lost\030\004 \001(\010" +
@@ -81,21 +86,25 @@
       "CallReport\0229\n\017started_answers\030\t \003(\0132 .mu" +
       "stardlane.StartedAnswerReport\0222\n\013quarant" +
       "ines\030\n \003(\0132\035.mustardlane.QuarantineRecor" +
-      "d\"W\n\016LostCallReport\022\016\n\006target\030\001 \001(\t\022\022\n\nr" +
-      "equest_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\022\n\nage_mi" +
-      "llis\030\004 \001(\r\"H\n\023StartedAnswerReport\022\016\n\006tar" +
-      "get\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\022\n\nage_millis\030\003" +
-      " \001(\r\":\n\020QuarantineRecord\022\r\n\005parts\030\001 \003(\t\022" +
-      "\027\n\017end_unix_millis\030\002 \001(\003\"7\n\rRouterAddres" +
-      "s\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014\n\004port\030\003 \001(" +
-      "\r\"6\n\tLogRecord\022\013\n\003key\030\001 \001(\t\022\016\n\006offset\030\002 " +
-      "\001(\003\022\014\n\004body\030\003 \001(\014\"{\n\nStatedLoad\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(" +
-      "\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005 \001" +
-      "(\r\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeServi" +
-      "ce\022F\n\010Exchange\022\034.mustardlane.KnowledgeDi" +
-      "gest\032\034.mustardlane.KnowledgeDigestB\034\n\030or" +
-      "g.mustardlane.protocolP\001b\006proto3"
+      "d\022(\n\006limits\030\013 \003(\0132\030.mustardlane.StatedLi" +
+      "mit\"Y\n\013StatedLimit\022\016\n\006target\030\001 \001(\t\022\027\n\npe" +
+      "r_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\rB" +
+      "\r\n\013_per_second\"W\n\016LostCallReport\022\016\n\006targ" +
+      "et\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005parts\030\003 " +
+      "\003(\t\022\022\n\nage_millis\030\004 \001(\r\"H\n\023StartedAnswer" +
+      "Report\022\016\n\006target\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\022\n" +
+      "\nage_millis\030\003 \001(\r\":\n\020QuarantineRecord\022\r\n" +
+      "\005parts\030\001 \003(\t\022\027\n\017end_unix_millis\030\002 \001(\003\"7\n" +
+      "\rRouterAddress\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t" +
+      "\022\014\n\004port\030\003 \001(\r\"6\n\tLogRecord\022\013\n\003key\030\001 \001(\t" +
+      "\022\016\n\006offset\030\002 \001(\003\022\014\n\004body\030\003 \001(\014\"{\n\nStated" +
+      "Load\022\016\n\006target\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n" +
+      "\007waiting\030\003 \001(\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slownes" +
+      "s_percent\030\005 \001(\r\022\022\n\nage_millis\030\006 \001(\r2Z\n\020K" +
+      "nowledgeService\022F\n\010Exchange\022\034.mustardlan" +
+      "e.KnowledgeDigest\032\034.mustardlane.Knowledg" +
+      "eDigestB\034\n\030org.mustardlane.protocolP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -106,39 +115,45 @@
     internal_static_mustardlane_KnowledgeDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_KnowledgeDigest_descriptor,
-        new java.lang.String[] { "Sender", "RoutesVersion", "TargetsOffset", "LogLost", "Routes", "Targets", "Loads", "LostCalls", "StartedAnswers", "Quarantines", });
-    internal_static_mustardlane_LostCallReport_descriptor =
+        new java.lang.String[] { "Sender", "RoutesVersion", "TargetsOffset", "LogLost", "Routes", "Targets", "Loads", "LostCalls", "StartedAnswers", "Quarantines", "Limits", });
+    internal_static_mustardlane_StatedLimit_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_mustardlane_StatedLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mustardlane_StatedLimit_descriptor,
+        new java.lang.String[] { "Target", "PerSecond", "AgeMillis", });
+    internal_static_mustardlane_LostCallReport_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_mustardlane_LostCallReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_LostCallReport_descriptor,
         new java.lang.String[] { "Target", "RequestId", "Parts", "AgeMillis", });
     internal_static_mustardlane_StartedAnswerReport_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_mustardlane_StartedAnswerReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_StartedAnswerReport_descriptor,
         new java.lang.String[] { "Target", "Parts", "AgeMillis", });
     internal_static_mustardlane_QuarantineRecord_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_mustardlane_QuarantineRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_QuarantineRecord_descriptor,
         new java.lang.String[] { "Parts", "EndUnixMillis", });
     internal_static_mustardlane_RouterAddress_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_mustardlane_RouterAddress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_RouterAddress_descriptor,
         new java.lang.String[] { "Vm", "Host", "Port", });
     internal_static_mustardlane_LogRecord_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_mustardlane_LogRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_LogRecord_descriptor,
         new java.lang.String[] { "Key", "Offset", "Body", });
     internal_static_mustardlane_StatedLoad_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_mustardlane_StatedLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_StatedLoad_descriptor,
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
@@ -33,6 +33,7 @@
     lostCalls_ = java.util.Collections.emptyList();
     startedAnswers_ = java.util.Collections.emptyList();
     quarantines_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -468,6 +469,67 @@
     return quarantines_.get(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mustardlane.protocol.StatedLimit> limits_;
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mustardlane.protocol.StatedLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.StatedLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  @java.lang.Override
+  public org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -512,6 +574,9 @@
     for (int i = 0; i < quarantines_.size(); i++) {
       output.writeMessage(10, quarantines_.get(i));
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(11, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -581,6 +646,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -631,6 +705,8 @@
         .equals(other.getStartedAnswersList())) return false;
     if (!getQuarantinesList()
         .equals(other.getQuarantinesList())) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -679,6 +755,10 @@
       hash = (37 * hash) + QUARANTINES_FIELD_NUMBER;
       hash = (53 * hash) + getQuarantinesList().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -816,6 +896,7 @@
         internalGetLostCallsFieldBuilder();
         internalGetStartedAnswersFieldBuilder();
         internalGetQuarantinesFieldBuilder();
+        internalGetLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -870,6 +951,13 @@
         quarantinesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -948,6 +1036,15 @@
       } else {
         result.quarantines_ = quarantinesBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.mustardlane.protocol.KnowledgeDigest result) {
@@ -1134,6 +1231,32 @@
           }
         }
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1252,6 +1375,19 @@
               }
               break;
             } // case 82
+            case 90: {
+              org.mustardlane.protocol.StatedLimit m =
+                  input.readMessage(
+                      org.mustardlane.protocol.StatedLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3205,6 +3341,312 @@
       return quarantinesBuilder_;
     }
 
+    private java.util.List<org.mustardlane.protocol.StatedLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        limits_ = new java.util.ArrayList<org.mustardlane.protocol.StatedLimit>(limits_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.StatedLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public org.mustardlane.protocol.StatedLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder setLimits(
+        int index, org.mustardlane.protocol.StatedLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder setLimits(
+        int index, org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder addLimits(org.mustardlane.protocol.StatedLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder addLimits(
+        int index, org.mustardlane.protocol.StatedLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder addLimits(
+        org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder addLimits(
+        int index, org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.mustardlane.protocol.StatedLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public org.mustardlane.protocol.StatedLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public org.mustardlane.protocol.StatedLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.mustardlane.protocol.StatedLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public org.mustardlane.protocol.StatedLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.mustardlane.protocol.StatedLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Limits that targets state, and that have ended recently.
+     * </pre>
+     *
+     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     */
+    public java.util.List<org.mustardlane.protocol.StatedLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.KnowledgeDigest)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
@@ -301,4 +301,48 @@
    */
   org.mustardlane.protocol.QuarantineRecordOrBuilder getQuarantinesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  java.util.List<org.mustardlane.protocol.StatedLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  org.mustardlane.protocol.StatedLimit getLimits(int index);
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * Limits that targets state, and that have ended recently.
+   * </pre>
+   *
+   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   */
+  org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
