--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLimit.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLimit.java
@@ -3,15 +3,15 @@
 import java.util.OptionalDouble;
 
 /**
- * What a target last stated about the number of requests that it accepts.
+ * What a target last reported about the number of requests that it accepts.
  *
  * @param perSecond requests per second from all routers together, empty without a limit
- * @param statedAtMillis time at which a router received the statement
+ * @param reportedAtMillis time at which a router received the report
  */
-public record TargetLimit(OptionalDouble perSecond, long statedAtMillis) {
+public record TargetLimit(OptionalDouble perSecond, long reportedAtMillis) {
 
 	/**
-	 * Stands for a target that has never stated a limit.
+	 * Stands for a target that has never reported a limit.
 	 */
 	public static final TargetLimit NONE = new TargetLimit(OptionalDouble.empty(), Long.MIN_VALUE / 2);
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
@@ -84,19 +84,19 @@
 	}
 
 	/**
-	 * Stores the limit that the target states, unless a newer statement is known.
-	 * @param stated the statement
+	 * Stores the limit that the target reports, unless a newer report is known.
+	 * @param reported the limit
 	 * @param position this router, which may use a share of the limit
 	 * @return whether the target had a limit before and has none now, or the other way
 	 * round
 	 */
-	public boolean updateLimit(TargetLimit stated, FleetPosition position) {
-		if (stated.statedAtMillis() <= this.limit.statedAtMillis()) {
+	public boolean updateLimit(TargetLimit reported, FleetPosition position) {
+		if (reported.reportedAtMillis() <= this.limit.reportedAtMillis()) {
 			return false;
 		}
-		boolean changed = stated.isLimited() != this.limit.isLimited();
-		this.limit = stated;
-		this.everLimited |= stated.isLimited();
+		boolean changed = reported.isLimited() != this.limit.isLimited();
+		this.limit = reported;
+		this.everLimited |= reported.isLimited();
 		updateRateShare(position);
 		return changed;
 	}
@@ -108,9 +108,9 @@
 		}
 		double perSecond = this.limit.perSecond().getAsDouble();
 		if (this.rateShare.isEmpty()) {
-			this.rateShare = Optional.of(new RateShare(position, perSecond, this.limit.statedAtMillis()));
+			this.rateShare = Optional.of(new RateShare(position, perSecond, this.limit.reportedAtMillis()));
 		}
-		this.rateShare.get().setRate(position, perSecond, this.limit.statedAtMillis());
+		this.rateShare.get().setRate(position, perSecond, this.limit.reportedAtMillis());
 	}
 
 	/**
@@ -124,15 +124,15 @@
 	}
 
 	/**
-	 * Returns the newest limit that the target stated.
-	 * @return the limit, or {@link TargetLimit#NONE} if the target has never stated one
+	 * Returns the newest limit that the target reported.
+	 * @return the limit, or {@link TargetLimit#NONE} if the target has never reported one
 	 */
 	public TargetLimit limit() {
 		return this.limit;
 	}
 
 	/**
-	 * Returns whether the target has ever stated a limit.
+	 * Returns whether the target has ever reported a limit.
 	 * @return true if other routers may believe that the target has a limit
 	 */
 	public boolean wasEverLimited() {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
@@ -23,9 +23,9 @@
  *
  * <p>
  * A part that crashes every engine is found in a lost call of several crashes, and no
- * answer to a prompt with it ever begins. Each answer that begins clears the parts of its
- * prompt from the crashes before it. An engine that begins an answer just after it has
- * lost a call has not crashed, and that call is no evidence. Not thread-safe.
+ * response to a prompt with it ever starts. Each response that starts clears the parts of
+ * its prompt from the crashes before it. An engine that starts a response just after it
+ * has lost a call has not crashed, and that call is no evidence. Not thread-safe.
  */
 public final class CrashEvidence {
 
@@ -47,19 +47,19 @@
 	private static final int SETTLE_MILLIS = 300;
 
 	/**
-	 * Number of answers that must have begun at this router since the first crash. If
-	 * hardly any answer begins, the prompts are not the cause.
+	 * Number of responses that must have started at this router since the first crash. If
+	 * hardly any response starts, the prompts are not the cause.
 	 */
 	private static final int MIN_OTHER_STARTS = 2;
 
 	/**
-	 * Routers notice the end of a connection, and the last answers, at slightly different
-	 * times.
+	 * Routers notice the end of a connection, and the last responses, at slightly
+	 * different times.
 	 */
 	private static final int OBSERVATION_SKEW_MILLIS = 250;
 
 	/**
-	 * An engine that has crashed does not answer again within this time.
+	 * An engine that has crashed does not respond again within this time.
 	 */
 	private static final int MIN_RESTART_MILLIS = 1500;
 
@@ -68,7 +68,7 @@
 	private static final int MAX_LOST_CALLS = 512;
 
 	/**
-	 * The report of a lost call may arrive after answers that contradict it.
+	 * The report of a lost call may arrive after responses that contradict it.
 	 */
 	private static final int MAX_RECENT_STARTS = 256;
 
@@ -78,9 +78,9 @@
 
 	private final Map<PromptPartId, Long> lastStartMillis = new HashMap<>();
 
-	private final Deque<StartedAnswer> recentStarts = new ArrayDeque<>();
+	private final Deque<StartedResponse> recentStarts = new ArrayDeque<>();
 
-	private final Deque<StartedAnswer> contradictions = new ArrayDeque<>();
+	private final Deque<StartedResponse> contradictions = new ArrayDeque<>();
 
 	private long startCount;
 
@@ -99,7 +99,7 @@
 		}
 		Evidence added = new Evidence(call, this.startCount);
 		this.lostCalls.put(key, added);
-		this.recentStarts.forEach((answer) -> contradict(added, answer));
+		this.recentStarts.forEach((response) -> contradict(added, response));
 		if (this.lostCalls.size() > MAX_LOST_CALLS) {
 			this.lostCalls.remove(this.lostCalls.keySet().iterator().next());
 		}
@@ -122,47 +122,47 @@
 	}
 
 	/**
-	 * Records an answer that began at this router.
-	 * @param answer the answer
+	 * Records a response that started at this router.
+	 * @param response the response
 	 * @return whether it contradicts evidence, so that other routers should know it
 	 */
-	public boolean recordStart(StartedAnswer answer) {
+	public boolean recordStart(StartedResponse response) {
 		this.startCount++;
-		addBounded(this.recentStarts, answer, MAX_RECENT_STARTS);
-		return recordRelayedStart(answer);
+		addBounded(this.recentStarts, response, MAX_RECENT_STARTS);
+		return recordRelayedStart(response);
 	}
 
 	/**
-	 * Records an answer that began at another router.
-	 * @param answer the answer
+	 * Records a response that started at another router.
+	 * @param response the response
 	 * @return whether it contradicts evidence that was not contradicted yet
 	 */
-	public boolean recordRelayedStart(StartedAnswer answer) {
+	public boolean recordRelayedStart(StartedResponse response) {
 		boolean contradicts = false;
 		for (Evidence evidence : this.lostCalls.values()) {
-			contradicts |= contradict(evidence, answer);
+			contradicts |= contradict(evidence, response);
 		}
 		return contradicts;
 	}
 
-	private boolean contradict(Evidence evidence, StartedAnswer answer) {
-		boolean contradicts = disproveCrash(evidence, answer) | clearParts(evidence.call, answer);
-		if (contradicts && !answer.equals(this.contradictions.peekLast())) {
-			addBounded(this.contradictions, answer, MAX_CONTRADICTIONS);
+	private boolean contradict(Evidence evidence, StartedResponse response) {
+		boolean contradicts = disproveCrash(evidence, response) | clearParts(evidence.call, response);
+		if (contradicts && !response.equals(this.contradictions.peekLast())) {
+			addBounded(this.contradictions, response, MAX_CONTRADICTIONS);
 		}
 		return contradicts;
 	}
 
-	private static void addBounded(Deque<StartedAnswer> answers, StartedAnswer answer, int maxSize) {
-		answers.addLast(answer);
-		if (answers.size() > maxSize) {
-			answers.removeFirst();
+	private static void addBounded(Deque<StartedResponse> responses, StartedResponse response, int maxSize) {
+		responses.addLast(response);
+		if (responses.size() > maxSize) {
+			responses.removeFirst();
 		}
 	}
 
-	private static boolean disproveCrash(Evidence evidence, StartedAnswer answer) {
-		long sinceLossMillis = answer.startedAtMillis() - evidence.call.lostAtMillis();
-		if (evidence.disproved || !answer.target().equals(evidence.call.target())
+	private static boolean disproveCrash(Evidence evidence, StartedResponse response) {
+		long sinceLossMillis = response.startedAtMillis() - evidence.call.lostAtMillis();
+		if (evidence.disproved || !response.target().equals(evidence.call.target())
 				|| sinceLossMillis <= OBSERVATION_SKEW_MILLIS || sinceLossMillis > MIN_RESTART_MILLIS) {
 			return false;
 		}
@@ -170,12 +170,12 @@
 		return true;
 	}
 
-	private boolean clearParts(LostCall call, StartedAnswer answer) {
+	private boolean clearParts(LostCall call, StartedResponse response) {
 		boolean isCleared = false;
-		for (PromptPartId part : answer.parts()) {
-			if (call.parts().contains(part) && answer.startedAtMillis() > call.lostAtMillis()
+		for (PromptPartId part : response.parts()) {
+			if (call.parts().contains(part) && response.startedAtMillis() > call.lostAtMillis()
 					&& isSuspect(part, call)) {
-				this.lastStartMillis.merge(part, answer.startedAtMillis(), Math::max);
+				this.lastStartMillis.merge(part, response.startedAtMillis(), Math::max);
 				isCleared = true;
 			}
 		}
@@ -200,12 +200,12 @@
 	}
 
 	/**
-	 * Returns the answers of the recent past that contradict evidence.
-	 * @param sinceMillis time after which the answers began
-	 * @return the answers, which other routers should know
+	 * Returns the responses of the recent past that contradict evidence.
+	 * @param sinceMillis time after which the responses started
+	 * @return the responses, which other routers should know
 	 */
-	public List<StartedAnswer> contradictionsSince(long sinceMillis) {
-		return this.contradictions.stream().filter((answer) -> answer.startedAtMillis() > sinceMillis).toList();
+	public List<StartedResponse> contradictionsSince(long sinceMillis) {
+		return this.contradictions.stream().filter((response) -> response.startedAtMillis() > sinceMillis).toList();
 	}
 
 	/**
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/LostCall.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/LostCall.java
@@ -6,7 +6,7 @@
 import org.mustardlane.core.model.common.TargetId;
 
 /**
- * A call whose engine ended the connection before the answer had begun.
+ * A call whose engine ended the connection before the response had started.
  *
  * @param target the engine
  * @param requestId id of the call
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/StartedAnswer.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/StartedResponse.java
@@ -6,18 +6,18 @@
 import org.mustardlane.core.model.common.TargetId;
 
 /**
- * An answer that an engine has begun without crashing.
+ * A response that an engine has started without crashing.
  *
  * @param target the engine
  * @param parts the shared parts of the prompt, in order
- * @param startedAtMillis time from which the engine is known to have survived the begin
+ * @param startedAtMillis time from which the engine is known to have survived the start
  */
-public record StartedAnswer(TargetId target, List<PromptPartId> parts, long startedAtMillis) {
+public record StartedResponse(TargetId target, List<PromptPartId> parts, long startedAtMillis) {
 
 	/**
 	 * Copies the parts.
 	 */
-	public StartedAnswer {
+	public StartedResponse {
 		parts = List.copyOf(parts);
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -47,12 +47,12 @@
 	}
 
 	private boolean start(String target, String partsText, long atMillis) {
-		return this.evidence.recordStart(new StartedAnswer(new TargetId(target), parts(partsText), atMillis));
+		return this.evidence.recordStart(new StartedResponse(new TargetId(target), parts(partsText), atMillis));
 	}
 
 	private void startOthers(long atMillis) {
-		for (int answer = 0; answer < 5; answer++) {
-			start("t-other", "other" + answer, atMillis);
+		for (int response = 0; response < 5; response++) {
+			start("t-other", "other" + response, atMillis);
 		}
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -18,7 +18,7 @@
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.placement.PlacementRequest;
 import org.mustardlane.core.quarantine.LostCall;
-import org.mustardlane.core.quarantine.StartedAnswer;
+import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
@@ -47,10 +47,10 @@
 	private static final int LAG_DELAY_MILLIS = 2;
 
 	/**
-	 * Number of events after which a target has survived the begin of its answer. It may
-	 * crash after the first one is on its way.
+	 * Number of events after which a target has survived the start of its response. It
+	 * may crash after the first one is on its way.
 	 */
-	private static final int BEGUN_EVENTS = 2;
+	private static final int STARTED_EVENTS = 2;
 
 	private final ExchangeContext context;
 
@@ -74,7 +74,7 @@
 
 	private int sendCount;
 
-	private boolean answerBegun;
+	private boolean responseStarted;
 
 	private boolean ended;
 
@@ -133,10 +133,10 @@
 	}
 
 	/**
-	 * Ends the call if its prompt is quarantined and its answer has not begun.
+	 * Ends the call if its prompt is quarantined and its response has not started.
 	 */
 	void endIfQuarantined() {
-		if (this.ended || this.answerBegun) {
+		if (this.ended || this.responseStarted) {
 			return;
 		}
 		this.context.quarantine().remainingMillis(sharedParts()).ifPresent((remainingMillis) -> {
@@ -305,28 +305,29 @@
 	}
 
 	/**
-	 * Records that a target ended its connection. If the answer had not begun, the prompt
-	 * may have crashed the target.
+	 * Records that a target ended its connection. If the response had not started, the
+	 * prompt may have crashed the target.
 	 * @param target the target
 	 */
 	void recordLostConnection(TargetEntry target) {
-		if (!this.answerBegun) {
+		if (!this.responseStarted) {
 			this.context.quarantine()
 				.recordLoss(new LostCall(target.id(), requestId(), sharedParts(), this.context.nowMillis()));
 		}
 	}
 
 	/**
-	 * Records that a target has sent a further part of the answer.
+	 * Records that a target has sent a further part of the response.
 	 * @param target the target
-	 * @param complete whether the answer is complete
+	 * @param complete whether the response is complete
 	 */
 	void recordProgress(TargetEntry target, boolean complete) {
-		if (this.answerBegun || (!complete && this.responseSink.eventCount() < BEGUN_EVENTS)) {
+		if (this.responseStarted || (!complete && this.responseSink.eventCount() < STARTED_EVENTS)) {
 			return;
 		}
-		this.answerBegun = true;
-		this.context.quarantine().recordStart(new StartedAnswer(target.id(), sharedParts(), this.context.nowMillis()));
+		this.responseStarted = true;
+		this.context.quarantine()
+			.recordStart(new StartedResponse(target.id(), sharedParts(), this.context.nowMillis()));
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/EvidenceCodec.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/EvidenceCodec.java
@@ -5,13 +5,13 @@
 import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.quarantine.LostCall;
-import org.mustardlane.core.quarantine.StartedAnswer;
+import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.gateway.quarantine.PromptQuarantine;
 import org.mustardlane.gateway.quarantine.QuarantineRecords;
 import org.mustardlane.protocol.KnowledgeDigest;
 import org.mustardlane.protocol.LostCallReport;
 import org.mustardlane.protocol.QuarantineRecord;
-import org.mustardlane.protocol.StartedAnswerReport;
+import org.mustardlane.protocol.StartedResponseReport;
 
 /**
  * Converts what routers know about prompts that crash engines to and from gRPC messages.
@@ -35,10 +35,10 @@
 				.addAllParts(names(call.parts()))
 				.setAgeMillis(ageMillis(call.lostAtMillis(), nowMillis))));
 		quarantine.recentContradictions()
-			.forEach((answer) -> digest.addStartedAnswers(StartedAnswerReport.newBuilder()
-				.setTarget(answer.target().value())
-				.addAllParts(names(answer.parts()))
-				.setAgeMillis(ageMillis(answer.startedAtMillis(), nowMillis))));
+			.forEach((response) -> digest.addStartedResponses(StartedResponseReport.newBuilder()
+				.setTarget(response.target().value())
+				.addAllParts(names(response.parts()))
+				.setAgeMillis(ageMillis(response.startedAtMillis(), nowMillis))));
 		quarantine.active().forEach((active) -> digest.addQuarantines(QuarantineRecords.encode(active)));
 	}
 
@@ -67,8 +67,8 @@
 			quarantine.recordLoss(new LostCall(new TargetId(report.getTarget()), report.getRequestId(),
 					parts(report.getPartsList()), nowMillis - report.getAgeMillis()));
 		}
-		for (StartedAnswerReport report : digest.getStartedAnswersList()) {
-			quarantine.recordRelayedStart(new StartedAnswer(new TargetId(report.getTarget()),
+		for (StartedResponseReport report : digest.getStartedResponsesList()) {
+			quarantine.recordRelayedStart(new StartedResponse(new TargetId(report.getTarget()),
 					parts(report.getPartsList()), nowMillis - report.getAgeMillis()));
 		}
 		for (QuarantineRecord message : digest.getQuarantinesList()) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/LimitCodec.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/LimitCodec.java
@@ -9,10 +9,10 @@
 import org.mustardlane.core.placement.LoadTable;
 import org.mustardlane.core.placement.TargetLimit;
 import org.mustardlane.protocol.KnowledgeDigest;
-import org.mustardlane.protocol.StatedLimit;
+import org.mustardlane.protocol.ReportedLimit;
 
 /**
- * Converts the limits that targets state to and from gRPC messages.
+ * Converts the limits that targets report to and from gRPC messages.
  */
 final class LimitCodec {
 
@@ -33,9 +33,9 @@
 	static void addTo(KnowledgeDigest.Builder digest, LoadTable loads, long nowMillis) {
 		loads.snapshot().forEach((target, load) -> {
 			TargetLimit limit = load.limit();
-			long ageMillis = nowMillis - limit.statedAtMillis();
+			long ageMillis = nowMillis - limit.reportedAtMillis();
 			if (load.wasEverLimited() && (limit.isLimited() || ageMillis <= MAX_AGE_WITHOUT_LIMIT_MILLIS)) {
-				StatedLimit.Builder message = StatedLimit.newBuilder()
+				ReportedLimit.Builder message = ReportedLimit.newBuilder()
 					.setTarget(target.value())
 					.setAgeMillis((int) Math.min(Integer.MAX_VALUE, ageMillis));
 				limit.perSecond().ifPresent(message::setPerSecond);
@@ -54,7 +54,7 @@
 	 */
 	static List<TargetId> apply(KnowledgeDigest digest, LoadTable loads, FleetPosition position, long nowMillis) {
 		List<TargetId> changedTargets = new ArrayList<>();
-		for (StatedLimit message : digest.getLimitsList()) {
+		for (ReportedLimit message : digest.getLimitsList()) {
 			TargetId target = new TargetId(message.getTarget());
 			OptionalDouble perSecond = message.hasPerSecond() ? OptionalDouble.of(message.getPerSecond())
 					: OptionalDouble.empty();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
@@ -12,7 +12,7 @@
 import org.mustardlane.core.quarantine.LostCall;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.core.quarantine.QuarantineTable;
-import org.mustardlane.core.quarantine.StartedAnswer;
+import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
@@ -79,25 +79,25 @@
 	}
 
 	/**
-	 * Records an answer that began at this router.
-	 * @param answer the answer
+	 * Records a response that started at this router.
+	 * @param response the response
 	 */
-	public void recordStart(StartedAnswer answer) {
-		notifyIfContradicted(answer, this.evidence.recordStart(answer));
+	public void recordStart(StartedResponse response) {
+		notifyIfContradicted(response, this.evidence.recordStart(response));
 	}
 
 	/**
-	 * Records an answer that began at another router.
-	 * @param answer the answer
+	 * Records a response that started at another router.
+	 * @param response the response
 	 */
-	public void recordRelayedStart(StartedAnswer answer) {
-		notifyIfContradicted(answer, this.evidence.recordRelayedStart(answer));
+	public void recordRelayedStart(StartedResponse response) {
+		notifyIfContradicted(response, this.evidence.recordRelayedStart(response));
 	}
 
-	private void notifyIfContradicted(StartedAnswer answer, boolean contradicts) {
+	private void notifyIfContradicted(StartedResponse response, boolean contradicts) {
 		if (contradicts) {
-			this.log.write(LogEvent.CRASH_EVIDENCE_CONTRADICTED, "target", answer.target(), "parts",
-					joinParts(answer.parts()));
+			this.log.write(LogEvent.CRASH_EVIDENCE_CONTRADICTED, "target", response.target(), "parts",
+					joinParts(response.parts()));
 			notifyNews();
 		}
 	}
@@ -166,10 +166,10 @@
 	}
 
 	/**
-	 * Returns the answers that contradict evidence and that other routers should know.
-	 * @return the answers
+	 * Returns the responses that contradict evidence and that other routers should know.
+	 * @return the responses
 	 */
-	public List<StartedAnswer> recentContradictions() {
+	public List<StartedResponse> recentContradictions() {
 		return this.evidence.contradictionsSince(this.clock.nowMillis() - SHARED_MILLIS);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineListener.java
@@ -9,7 +9,7 @@
 public interface QuarantineListener {
 
 	/**
-	 * Called when this router has learnt of a lost call, a contradicting answer or a
+	 * Called when this router has learnt of a lost call, a contradicting response or a
 	 * quarantine.
 	 */
 	void onNews();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -56,14 +56,14 @@
 	QUARANTINE_ADDED("quarantine-added"),
 
 	/**
-	 * An answer has begun that shows that a part of its prompt, or its target, has not
+	 * A response has started that shows that a part of its prompt, or its target, has not
 	 * crashed.
 	 */
 	CRASH_EVIDENCE_CONTRADICTED("crash-evidence-contradicted"),
 
 	/**
-	 * A target has stated how many requests per second it accepts, or states no limit any
-	 * more.
+	 * A target has reported how many requests per second it accepts, or reports no limit
+	 * any more.
 	 */
 	TARGET_LIMIT_CHANGED("target-limit-changed"),
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
@@ -19,7 +19,7 @@
  * @param eventStream whether the body is a stream of server-sent events
  * @param load load that the target reports, empty if it reports none
  * @param limitPerSecond requests per second that the target accepts from all routers
- * together, empty if it states no limit
+ * together, empty if it reports no limit
  * @param headers headers to forward to the caller
  */
 public record ResponseHead(int status, Optional<String> requestId, boolean notExecuted, boolean sealed,
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
@@ -31,7 +31,7 @@
     targets_ = java.util.Collections.emptyList();
     loads_ = java.util.Collections.emptyList();
     lostCalls_ = java.util.Collections.emptyList();
-    startedAnswers_ = java.util.Collections.emptyList();
+    startedResponses_ = java.util.Collections.emptyList();
     quarantines_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
   }
@@ -347,65 +347,65 @@
     return lostCalls_.get(index);
   }
 
-  public static final int STARTED_ANSWERS_FIELD_NUMBER = 9;
+  public static final int STARTED_RESPONSES_FIELD_NUMBER = 9;
   @SuppressWarnings("serial")
-  private java.util.List<org.mustardlane.protocol.StartedAnswerReport> startedAnswers_;
+  private java.util.List<org.mustardlane.protocol.StartedResponseReport> startedResponses_;
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
   @java.lang.Override
-  public java.util.List<org.mustardlane.protocol.StartedAnswerReport> getStartedAnswersList() {
-    return startedAnswers_;
+  public java.util.List<org.mustardlane.protocol.StartedResponseReport> getStartedResponsesList() {
+    return startedResponses_;
   }
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
-      getStartedAnswersOrBuilderList() {
-    return startedAnswers_;
+  public java.util.List<? extends org.mustardlane.protocol.StartedResponseReportOrBuilder> 
+      getStartedResponsesOrBuilderList() {
+    return startedResponses_;
   }
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
   @java.lang.Override
-  public int getStartedAnswersCount() {
-    return startedAnswers_.size();
+  public int getStartedResponsesCount() {
+    return startedResponses_.size();
   }
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
   @java.lang.Override
-  public org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index) {
-    return startedAnswers_.get(index);
+  public org.mustardlane.protocol.StartedResponseReport getStartedResponses(int index) {
+    return startedResponses_.get(index);
   }
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
   @java.lang.Override
-  public org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+  public org.mustardlane.protocol.StartedResponseReportOrBuilder getStartedResponsesOrBuilder(
       int index) {
-    return startedAnswers_.get(index);
+    return startedResponses_.get(index);
   }
 
   public static final int QUARANTINES_FIELD_NUMBER = 10;
@@ -471,36 +471,36 @@
 
   public static final int LIMITS_FIELD_NUMBER = 11;
   @SuppressWarnings("serial")
-  private java.util.List<org.mustardlane.protocol.StatedLimit> limits_;
+  private java.util.List<org.mustardlane.protocol.ReportedLimit> limits_;
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   @java.lang.Override
-  public java.util.List<org.mustardlane.protocol.StatedLimit> getLimitsList() {
+  public java.util.List<org.mustardlane.protocol.ReportedLimit> getLimitsList() {
     return limits_;
   }
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+  public java.util.List<? extends org.mustardlane.protocol.ReportedLimitOrBuilder> 
       getLimitsOrBuilderList() {
     return limits_;
   }
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   @java.lang.Override
   public int getLimitsCount() {
@@ -508,24 +508,24 @@
   }
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   @java.lang.Override
-  public org.mustardlane.protocol.StatedLimit getLimits(int index) {
+  public org.mustardlane.protocol.ReportedLimit getLimits(int index) {
     return limits_.get(index);
   }
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   @java.lang.Override
-  public org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+  public org.mustardlane.protocol.ReportedLimitOrBuilder getLimitsOrBuilder(
       int index) {
     return limits_.get(index);
   }
@@ -568,8 +568,8 @@
     for (int i = 0; i < lostCalls_.size(); i++) {
       output.writeMessage(8, lostCalls_.get(i));
     }
-    for (int i = 0; i < startedAnswers_.size(); i++) {
-      output.writeMessage(9, startedAnswers_.get(i));
+    for (int i = 0; i < startedResponses_.size(); i++) {
+      output.writeMessage(9, startedResponses_.get(i));
     }
     for (int i = 0; i < quarantines_.size(); i++) {
       output.writeMessage(10, quarantines_.get(i));
@@ -630,10 +630,10 @@
         }
 
         {
-          final int count = startedAnswers_.size();
+          final int count = startedResponses_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(startedAnswers_.get(i));
+              .computeMessageSizeNoTag(startedResponses_.get(i));
           }
           size += 1 * count;
         }
@@ -701,8 +701,8 @@
         .equals(other.getLoadsList())) return false;
     if (!getLostCallsList()
         .equals(other.getLostCallsList())) return false;
-    if (!getStartedAnswersList()
-        .equals(other.getStartedAnswersList())) return false;
+    if (!getStartedResponsesList()
+        .equals(other.getStartedResponsesList())) return false;
     if (!getQuarantinesList()
         .equals(other.getQuarantinesList())) return false;
     if (!getLimitsList()
@@ -747,9 +747,9 @@
       hash = (37 * hash) + LOST_CALLS_FIELD_NUMBER;
       hash = (53 * hash) + getLostCallsList().hashCode();
     }
-    if (getStartedAnswersCount() > 0) {
-      hash = (37 * hash) + STARTED_ANSWERS_FIELD_NUMBER;
-      hash = (53 * hash) + getStartedAnswersList().hashCode();
+    if (getStartedResponsesCount() > 0) {
+      hash = (37 * hash) + STARTED_RESPONSES_FIELD_NUMBER;
+      hash = (53 * hash) + getStartedResponsesList().hashCode();
     }
     if (getQuarantinesCount() > 0) {
       hash = (37 * hash) + QUARANTINES_FIELD_NUMBER;
@@ -894,7 +894,7 @@
         internalGetTargetsFieldBuilder();
         internalGetLoadsFieldBuilder();
         internalGetLostCallsFieldBuilder();
-        internalGetStartedAnswersFieldBuilder();
+        internalGetStartedResponsesFieldBuilder();
         internalGetQuarantinesFieldBuilder();
         internalGetLimitsFieldBuilder();
       }
@@ -937,11 +937,11 @@
         lostCallsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
-      if (startedAnswersBuilder_ == null) {
-        startedAnswers_ = java.util.Collections.emptyList();
+      if (startedResponsesBuilder_ == null) {
+        startedResponses_ = java.util.Collections.emptyList();
       } else {
-        startedAnswers_ = null;
-        startedAnswersBuilder_.clear();
+        startedResponses_ = null;
+        startedResponsesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
       if (quarantinesBuilder_ == null) {
@@ -1018,14 +1018,14 @@
       } else {
         result.lostCalls_ = lostCallsBuilder_.build();
       }
-      if (startedAnswersBuilder_ == null) {
+      if (startedResponsesBuilder_ == null) {
         if (((bitField0_ & 0x00000100) != 0)) {
-          startedAnswers_ = java.util.Collections.unmodifiableList(startedAnswers_);
+          startedResponses_ = java.util.Collections.unmodifiableList(startedResponses_);
           bitField0_ = (bitField0_ & ~0x00000100);
         }
-        result.startedAnswers_ = startedAnswers_;
+        result.startedResponses_ = startedResponses_;
       } else {
-        result.startedAnswers_ = startedAnswersBuilder_.build();
+        result.startedResponses_ = startedResponsesBuilder_.build();
       }
       if (quarantinesBuilder_ == null) {
         if (((bitField0_ & 0x00000200) != 0)) {
@@ -1179,29 +1179,29 @@
           }
         }
       }
-      if (startedAnswersBuilder_ == null) {
-        if (!other.startedAnswers_.isEmpty()) {
-          if (startedAnswers_.isEmpty()) {
-            startedAnswers_ = other.startedAnswers_;
+      if (startedResponsesBuilder_ == null) {
+        if (!other.startedResponses_.isEmpty()) {
+          if (startedResponses_.isEmpty()) {
+            startedResponses_ = other.startedResponses_;
             bitField0_ = (bitField0_ & ~0x00000100);
           } else {
-            ensureStartedAnswersIsMutable();
-            startedAnswers_.addAll(other.startedAnswers_);
+            ensureStartedResponsesIsMutable();
+            startedResponses_.addAll(other.startedResponses_);
           }
           onChanged();
         }
       } else {
-        if (!other.startedAnswers_.isEmpty()) {
-          if (startedAnswersBuilder_.isEmpty()) {
-            startedAnswersBuilder_.dispose();
-            startedAnswersBuilder_ = null;
-            startedAnswers_ = other.startedAnswers_;
+        if (!other.startedResponses_.isEmpty()) {
+          if (startedResponsesBuilder_.isEmpty()) {
+            startedResponsesBuilder_.dispose();
+            startedResponsesBuilder_ = null;
+            startedResponses_ = other.startedResponses_;
             bitField0_ = (bitField0_ & ~0x00000100);
-            startedAnswersBuilder_ = 
+            startedResponsesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetStartedAnswersFieldBuilder() : null;
+                 internalGetStartedResponsesFieldBuilder() : null;
           } else {
-            startedAnswersBuilder_.addAllMessages(other.startedAnswers_);
+            startedResponsesBuilder_.addAllMessages(other.startedResponses_);
           }
         }
       }
@@ -1350,15 +1350,15 @@
               break;
             } // case 66
             case 74: {
-              org.mustardlane.protocol.StartedAnswerReport m =
+              org.mustardlane.protocol.StartedResponseReport m =
                   input.readMessage(
-                      org.mustardlane.protocol.StartedAnswerReport.parser(),
+                      org.mustardlane.protocol.StartedResponseReport.parser(),
                       extensionRegistry);
-              if (startedAnswersBuilder_ == null) {
-                ensureStartedAnswersIsMutable();
-                startedAnswers_.add(m);
+              if (startedResponsesBuilder_ == null) {
+                ensureStartedResponsesIsMutable();
+                startedResponses_.add(m);
               } else {
-                startedAnswersBuilder_.addMessage(m);
+                startedResponsesBuilder_.addMessage(m);
               }
               break;
             } // case 74
@@ -1376,9 +1376,9 @@
               break;
             } // case 82
             case 90: {
-              org.mustardlane.protocol.StatedLimit m =
+              org.mustardlane.protocol.ReportedLimit m =
                   input.readMessage(
-                      org.mustardlane.protocol.StatedLimit.parser(),
+                      org.mustardlane.protocol.ReportedLimit.parser(),
                       extensionRegistry);
               if (limitsBuilder_ == null) {
                 ensureLimitsIsMutable();
@@ -2729,30 +2729,30 @@
       return lostCallsBuilder_;
     }
 
-    private java.util.List<org.mustardlane.protocol.StartedAnswerReport> startedAnswers_ =
+    private java.util.List<org.mustardlane.protocol.StartedResponseReport> startedResponses_ =
       java.util.Collections.emptyList();
-    private void ensureStartedAnswersIsMutable() {
+    private void ensureStartedResponsesIsMutable() {
       if (!((bitField0_ & 0x00000100) != 0)) {
-        startedAnswers_ = new java.util.ArrayList<org.mustardlane.protocol.StartedAnswerReport>(startedAnswers_);
+        startedResponses_ = new java.util.ArrayList<org.mustardlane.protocol.StartedResponseReport>(startedResponses_);
         bitField0_ |= 0x00000100;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder> startedAnswersBuilder_;
+        org.mustardlane.protocol.StartedResponseReport, org.mustardlane.protocol.StartedResponseReport.Builder, org.mustardlane.protocol.StartedResponseReportOrBuilder> startedResponsesBuilder_;
 
     /**
      * <pre>
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public java.util.List<org.mustardlane.protocol.StartedAnswerReport> getStartedAnswersList() {
-      if (startedAnswersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(startedAnswers_);
+    public java.util.List<org.mustardlane.protocol.StartedResponseReport> getStartedResponsesList() {
+      if (startedResponsesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(startedResponses_);
       } else {
-        return startedAnswersBuilder_.getMessageList();
+        return startedResponsesBuilder_.getMessageList();
       }
     }
     /**
@@ -2760,13 +2760,13 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public int getStartedAnswersCount() {
-      if (startedAnswersBuilder_ == null) {
-        return startedAnswers_.size();
+    public int getStartedResponsesCount() {
+      if (startedResponsesBuilder_ == null) {
+        return startedResponses_.size();
       } else {
-        return startedAnswersBuilder_.getCount();
+        return startedResponsesBuilder_.getCount();
       }
     }
     /**
@@ -2774,13 +2774,13 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index) {
-      if (startedAnswersBuilder_ == null) {
-        return startedAnswers_.get(index);
+    public org.mustardlane.protocol.StartedResponseReport getStartedResponses(int index) {
+      if (startedResponsesBuilder_ == null) {
+        return startedResponses_.get(index);
       } else {
-        return startedAnswersBuilder_.getMessage(index);
+        return startedResponsesBuilder_.getMessage(index);
       }
     }
     /**
@@ -2788,17 +2788,17 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder setStartedAnswers(
-        int index, org.mustardlane.protocol.StartedAnswerReport value) {
-      if (startedAnswersBuilder_ == null) {
+    public Builder setStartedResponses(
+        int index, org.mustardlane.protocol.StartedResponseReport value) {
+      if (startedResponsesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.set(index, value);
+        ensureStartedResponsesIsMutable();
+        startedResponses_.set(index, value);
         onChanged();
       } else {
-        startedAnswersBuilder_.setMessage(index, value);
+        startedResponsesBuilder_.setMessage(index, value);
       }
       return this;
     }
@@ -2807,16 +2807,16 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder setStartedAnswers(
-        int index, org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
-      if (startedAnswersBuilder_ == null) {
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.set(index, builderForValue.build());
+    public Builder setStartedResponses(
+        int index, org.mustardlane.protocol.StartedResponseReport.Builder builderForValue) {
+      if (startedResponsesBuilder_ == null) {
+        ensureStartedResponsesIsMutable();
+        startedResponses_.set(index, builderForValue.build());
         onChanged();
       } else {
-        startedAnswersBuilder_.setMessage(index, builderForValue.build());
+        startedResponsesBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
@@ -2825,16 +2825,16 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder addStartedAnswers(org.mustardlane.protocol.StartedAnswerReport value) {
-      if (startedAnswersBuilder_ == null) {
+    public Builder addStartedResponses(org.mustardlane.protocol.StartedResponseReport value) {
+      if (startedResponsesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.add(value);
+        ensureStartedResponsesIsMutable();
+        startedResponses_.add(value);
         onChanged();
       } else {
-        startedAnswersBuilder_.addMessage(value);
+        startedResponsesBuilder_.addMessage(value);
       }
       return this;
     }
@@ -2843,17 +2843,17 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder addStartedAnswers(
-        int index, org.mustardlane.protocol.StartedAnswerReport value) {
-      if (startedAnswersBuilder_ == null) {
+    public Builder addStartedResponses(
+        int index, org.mustardlane.protocol.StartedResponseReport value) {
+      if (startedResponsesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.add(index, value);
+        ensureStartedResponsesIsMutable();
+        startedResponses_.add(index, value);
         onChanged();
       } else {
-        startedAnswersBuilder_.addMessage(index, value);
+        startedResponsesBuilder_.addMessage(index, value);
       }
       return this;
     }
@@ -2862,16 +2862,16 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder addStartedAnswers(
-        org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
-      if (startedAnswersBuilder_ == null) {
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.add(builderForValue.build());
+    public Builder addStartedResponses(
+        org.mustardlane.protocol.StartedResponseReport.Builder builderForValue) {
+      if (startedResponsesBuilder_ == null) {
+        ensureStartedResponsesIsMutable();
+        startedResponses_.add(builderForValue.build());
         onChanged();
       } else {
-        startedAnswersBuilder_.addMessage(builderForValue.build());
+        startedResponsesBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
@@ -2880,16 +2880,16 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder addStartedAnswers(
-        int index, org.mustardlane.protocol.StartedAnswerReport.Builder builderForValue) {
-      if (startedAnswersBuilder_ == null) {
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.add(index, builderForValue.build());
+    public Builder addStartedResponses(
+        int index, org.mustardlane.protocol.StartedResponseReport.Builder builderForValue) {
+      if (startedResponsesBuilder_ == null) {
+        ensureStartedResponsesIsMutable();
+        startedResponses_.add(index, builderForValue.build());
         onChanged();
       } else {
-        startedAnswersBuilder_.addMessage(index, builderForValue.build());
+        startedResponsesBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
@@ -2898,17 +2898,17 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder addAllStartedAnswers(
-        java.lang.Iterable<? extends org.mustardlane.protocol.StartedAnswerReport> values) {
-      if (startedAnswersBuilder_ == null) {
-        ensureStartedAnswersIsMutable();
+    public Builder addAllStartedResponses(
+        java.lang.Iterable<? extends org.mustardlane.protocol.StartedResponseReport> values) {
+      if (startedResponsesBuilder_ == null) {
+        ensureStartedResponsesIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, startedAnswers_);
+            values, startedResponses_);
         onChanged();
       } else {
-        startedAnswersBuilder_.addAllMessages(values);
+        startedResponsesBuilder_.addAllMessages(values);
       }
       return this;
     }
@@ -2917,15 +2917,15 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder clearStartedAnswers() {
-      if (startedAnswersBuilder_ == null) {
-        startedAnswers_ = java.util.Collections.emptyList();
+    public Builder clearStartedResponses() {
+      if (startedResponsesBuilder_ == null) {
+        startedResponses_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000100);
         onChanged();
       } else {
-        startedAnswersBuilder_.clear();
+        startedResponsesBuilder_.clear();
       }
       return this;
     }
@@ -2934,15 +2934,15 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public Builder removeStartedAnswers(int index) {
-      if (startedAnswersBuilder_ == null) {
-        ensureStartedAnswersIsMutable();
-        startedAnswers_.remove(index);
+    public Builder removeStartedResponses(int index) {
+      if (startedResponsesBuilder_ == null) {
+        ensureStartedResponsesIsMutable();
+        startedResponses_.remove(index);
         onChanged();
       } else {
-        startedAnswersBuilder_.remove(index);
+        startedResponsesBuilder_.remove(index);
       }
       return this;
     }
@@ -2951,24 +2951,24 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public org.mustardlane.protocol.StartedAnswerReport.Builder getStartedAnswersBuilder(
+    public org.mustardlane.protocol.StartedResponseReport.Builder getStartedResponsesBuilder(
         int index) {
-      return internalGetStartedAnswersFieldBuilder().getBuilder(index);
+      return internalGetStartedResponsesFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+    public org.mustardlane.protocol.StartedResponseReportOrBuilder getStartedResponsesOrBuilder(
         int index) {
-      if (startedAnswersBuilder_ == null) {
-        return startedAnswers_.get(index);  } else {
-        return startedAnswersBuilder_.getMessageOrBuilder(index);
+      if (startedResponsesBuilder_ == null) {
+        return startedResponses_.get(index);  } else {
+        return startedResponsesBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
@@ -2976,14 +2976,14 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
-         getStartedAnswersOrBuilderList() {
-      if (startedAnswersBuilder_ != null) {
-        return startedAnswersBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.mustardlane.protocol.StartedResponseReportOrBuilder> 
+         getStartedResponsesOrBuilderList() {
+      if (startedResponsesBuilder_ != null) {
+        return startedResponsesBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(startedAnswers_);
+        return java.util.Collections.unmodifiableList(startedResponses_);
       }
     }
     /**
@@ -2991,48 +2991,48 @@
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public org.mustardlane.protocol.StartedAnswerReport.Builder addStartedAnswersBuilder() {
-      return internalGetStartedAnswersFieldBuilder().addBuilder(
-          org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance());
+    public org.mustardlane.protocol.StartedResponseReport.Builder addStartedResponsesBuilder() {
+      return internalGetStartedResponsesFieldBuilder().addBuilder(
+          org.mustardlane.protocol.StartedResponseReport.getDefaultInstance());
     }
     /**
      * <pre>
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public org.mustardlane.protocol.StartedAnswerReport.Builder addStartedAnswersBuilder(
+    public org.mustardlane.protocol.StartedResponseReport.Builder addStartedResponsesBuilder(
         int index) {
-      return internalGetStartedAnswersFieldBuilder().addBuilder(
-          index, org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance());
+      return internalGetStartedResponsesFieldBuilder().addBuilder(
+          index, org.mustardlane.protocol.StartedResponseReport.getDefaultInstance());
     }
     /**
      * <pre>
      * Answers that contradict what the lost calls suggest.
      * </pre>
      *
-     * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+     * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
      */
-    public java.util.List<org.mustardlane.protocol.StartedAnswerReport.Builder> 
-         getStartedAnswersBuilderList() {
-      return internalGetStartedAnswersFieldBuilder().getBuilderList();
+    public java.util.List<org.mustardlane.protocol.StartedResponseReport.Builder> 
+         getStartedResponsesBuilderList() {
+      return internalGetStartedResponsesFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
-        internalGetStartedAnswersFieldBuilder() {
-      if (startedAnswersBuilder_ == null) {
-        startedAnswersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.mustardlane.protocol.StartedAnswerReport, org.mustardlane.protocol.StartedAnswerReport.Builder, org.mustardlane.protocol.StartedAnswerReportOrBuilder>(
-                startedAnswers_,
+        org.mustardlane.protocol.StartedResponseReport, org.mustardlane.protocol.StartedResponseReport.Builder, org.mustardlane.protocol.StartedResponseReportOrBuilder> 
+        internalGetStartedResponsesFieldBuilder() {
+      if (startedResponsesBuilder_ == null) {
+        startedResponsesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mustardlane.protocol.StartedResponseReport, org.mustardlane.protocol.StartedResponseReport.Builder, org.mustardlane.protocol.StartedResponseReportOrBuilder>(
+                startedResponses_,
                 ((bitField0_ & 0x00000100) != 0),
                 getParentForChildren(),
                 isClean());
-        startedAnswers_ = null;
+        startedResponses_ = null;
       }
-      return startedAnswersBuilder_;
+      return startedResponsesBuilder_;
     }
 
     private java.util.List<org.mustardlane.protocol.QuarantineRecord> quarantines_ =
@@ -3341,26 +3341,26 @@
       return quarantinesBuilder_;
     }
 
-    private java.util.List<org.mustardlane.protocol.StatedLimit> limits_ =
+    private java.util.List<org.mustardlane.protocol.ReportedLimit> limits_ =
       java.util.Collections.emptyList();
     private void ensureLimitsIsMutable() {
       if (!((bitField0_ & 0x00000400) != 0)) {
-        limits_ = new java.util.ArrayList<org.mustardlane.protocol.StatedLimit>(limits_);
+        limits_ = new java.util.ArrayList<org.mustardlane.protocol.ReportedLimit>(limits_);
         bitField0_ |= 0x00000400;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder> limitsBuilder_;
+        org.mustardlane.protocol.ReportedLimit, org.mustardlane.protocol.ReportedLimit.Builder, org.mustardlane.protocol.ReportedLimitOrBuilder> limitsBuilder_;
 
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public java.util.List<org.mustardlane.protocol.StatedLimit> getLimitsList() {
+    public java.util.List<org.mustardlane.protocol.ReportedLimit> getLimitsList() {
       if (limitsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(limits_);
       } else {
@@ -3369,10 +3369,10 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public int getLimitsCount() {
       if (limitsBuilder_ == null) {
@@ -3383,12 +3383,12 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public org.mustardlane.protocol.StatedLimit getLimits(int index) {
+    public org.mustardlane.protocol.ReportedLimit getLimits(int index) {
       if (limitsBuilder_ == null) {
         return limits_.get(index);
       } else {
@@ -3397,13 +3397,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder setLimits(
-        int index, org.mustardlane.protocol.StatedLimit value) {
+        int index, org.mustardlane.protocol.ReportedLimit value) {
       if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureLimitsIsMutable();
@@ -3416,13 +3416,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder setLimits(
-        int index, org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+        int index, org.mustardlane.protocol.ReportedLimit.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.set(index, builderForValue.build());
@@ -3434,12 +3434,12 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public Builder addLimits(org.mustardlane.protocol.StatedLimit value) {
+    public Builder addLimits(org.mustardlane.protocol.ReportedLimit value) {
       if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureLimitsIsMutable();
@@ -3452,13 +3452,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder addLimits(
-        int index, org.mustardlane.protocol.StatedLimit value) {
+        int index, org.mustardlane.protocol.ReportedLimit value) {
       if (limitsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         ensureLimitsIsMutable();
@@ -3471,13 +3471,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder addLimits(
-        org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+        org.mustardlane.protocol.ReportedLimit.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.add(builderForValue.build());
@@ -3489,13 +3489,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder addLimits(
-        int index, org.mustardlane.protocol.StatedLimit.Builder builderForValue) {
+        int index, org.mustardlane.protocol.ReportedLimit.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.add(index, builderForValue.build());
@@ -3507,13 +3507,13 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder addAllLimits(
-        java.lang.Iterable<? extends org.mustardlane.protocol.StatedLimit> values) {
+        java.lang.Iterable<? extends org.mustardlane.protocol.ReportedLimit> values) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -3526,10 +3526,10 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder clearLimits() {
       if (limitsBuilder_ == null) {
@@ -3543,10 +3543,10 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
     public Builder removeLimits(int index) {
       if (limitsBuilder_ == null) {
@@ -3560,23 +3560,23 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public org.mustardlane.protocol.StatedLimit.Builder getLimitsBuilder(
+    public org.mustardlane.protocol.ReportedLimit.Builder getLimitsBuilder(
         int index) {
       return internalGetLimitsFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+    public org.mustardlane.protocol.ReportedLimitOrBuilder getLimitsOrBuilder(
         int index) {
       if (limitsBuilder_ == null) {
         return limits_.get(index);  } else {
@@ -3585,12 +3585,12 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+    public java.util.List<? extends org.mustardlane.protocol.ReportedLimitOrBuilder> 
          getLimitsOrBuilderList() {
       if (limitsBuilder_ != null) {
         return limitsBuilder_.getMessageOrBuilderList();
@@ -3600,44 +3600,44 @@
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public org.mustardlane.protocol.StatedLimit.Builder addLimitsBuilder() {
+    public org.mustardlane.protocol.ReportedLimit.Builder addLimitsBuilder() {
       return internalGetLimitsFieldBuilder().addBuilder(
-          org.mustardlane.protocol.StatedLimit.getDefaultInstance());
+          org.mustardlane.protocol.ReportedLimit.getDefaultInstance());
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public org.mustardlane.protocol.StatedLimit.Builder addLimitsBuilder(
+    public org.mustardlane.protocol.ReportedLimit.Builder addLimitsBuilder(
         int index) {
       return internalGetLimitsFieldBuilder().addBuilder(
-          index, org.mustardlane.protocol.StatedLimit.getDefaultInstance());
+          index, org.mustardlane.protocol.ReportedLimit.getDefaultInstance());
     }
     /**
      * <pre>
-     * Limits that targets state, and that have ended recently.
+     * Limits that targets report, and that have ended recently.
      * </pre>
      *
-     * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+     * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
      */
-    public java.util.List<org.mustardlane.protocol.StatedLimit.Builder> 
+    public java.util.List<org.mustardlane.protocol.ReportedLimit.Builder> 
          getLimitsBuilderList() {
       return internalGetLimitsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder> 
+        org.mustardlane.protocol.ReportedLimit, org.mustardlane.protocol.ReportedLimit.Builder, org.mustardlane.protocol.ReportedLimitOrBuilder> 
         internalGetLimitsFieldBuilder() {
       if (limitsBuilder_ == null) {
         limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.mustardlane.protocol.StatedLimit, org.mustardlane.protocol.StatedLimit.Builder, org.mustardlane.protocol.StatedLimitOrBuilder>(
+            org.mustardlane.protocol.ReportedLimit, org.mustardlane.protocol.ReportedLimit.Builder, org.mustardlane.protocol.ReportedLimitOrBuilder>(
                 limits_,
                 ((bitField0_ & 0x00000400) != 0),
                 getParentForChildren(),
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
@@ -219,43 +219,43 @@
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
-  java.util.List<org.mustardlane.protocol.StartedAnswerReport> 
-      getStartedAnswersList();
+  java.util.List<org.mustardlane.protocol.StartedResponseReport> 
+      getStartedResponsesList();
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
-  org.mustardlane.protocol.StartedAnswerReport getStartedAnswers(int index);
+  org.mustardlane.protocol.StartedResponseReport getStartedResponses(int index);
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
-  int getStartedAnswersCount();
+  int getStartedResponsesCount();
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
-  java.util.List<? extends org.mustardlane.protocol.StartedAnswerReportOrBuilder> 
-      getStartedAnswersOrBuilderList();
+  java.util.List<? extends org.mustardlane.protocol.StartedResponseReportOrBuilder> 
+      getStartedResponsesOrBuilderList();
   /**
    * <pre>
    * Answers that contradict what the lost calls suggest.
    * </pre>
    *
-   * <code>repeated .mustardlane.StartedAnswerReport started_answers = 9;</code>
+   * <code>repeated .mustardlane.StartedResponseReport started_responses = 9;</code>
    */
-  org.mustardlane.protocol.StartedAnswerReportOrBuilder getStartedAnswersOrBuilder(
+  org.mustardlane.protocol.StartedResponseReportOrBuilder getStartedResponsesOrBuilder(
       int index);
 
   /**
@@ -304,45 +304,45 @@
 
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
-  java.util.List<org.mustardlane.protocol.StatedLimit> 
+  java.util.List<org.mustardlane.protocol.ReportedLimit> 
       getLimitsList();
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
-  org.mustardlane.protocol.StatedLimit getLimits(int index);
+  org.mustardlane.protocol.ReportedLimit getLimits(int index);
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
   int getLimitsCount();
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
-  java.util.List<? extends org.mustardlane.protocol.StatedLimitOrBuilder> 
+  java.util.List<? extends org.mustardlane.protocol.ReportedLimitOrBuilder> 
       getLimitsOrBuilderList();
   /**
    * <pre>
-   * Limits that targets state, and that have ended recently.
+   * Limits that targets report, and that have ended recently.
    * </pre>
    *
-   * <code>repeated .mustardlane.StatedLimit limits = 11;</code>
+   * <code>repeated .mustardlane.ReportedLimit limits = 11;</code>
    */
-  org.mustardlane.protocol.StatedLimitOrBuilder getLimitsOrBuilder(
+  org.mustardlane.protocol.ReportedLimitOrBuilder getLimitsOrBuilder(
       int index);
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReport.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReport.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A call that was lost before its answer began.
+ * A call that was lost before its response started.
  * </pre>
  *
  * Protobuf type {@code mustardlane.LostCallReport}
@@ -402,7 +402,7 @@
   }
   /**
    * <pre>
-   * A call that was lost before its answer began.
+   * A call that was lost before its response started.
    * </pre>
    *
    * Protobuf type {@code mustardlane.LostCallReport}
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLimit.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/ReportedLimit.java
@@ -6,13 +6,13 @@
 package org.mustardlane.protocol;
 
 /**
- * Protobuf type {@code mustardlane.StatedLimit}
+ * Protobuf type {@code mustardlane.ReportedLimit}
  */
 @com.google.protobuf.Generated
-public final class StatedLimit extends
+public final class ReportedLimit extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:mustardlane.StatedLimit)
-    StatedLimitOrBuilder {
+    // @@protoc_insertion_point(message_implements:mustardlane.ReportedLimit)
+    ReportedLimitOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,32 +21,32 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "StatedLimit");
+      "ReportedLimit");
   }
-  // Use StatedLimit.newBuilder() to construct.
-  private StatedLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use ReportedLimit.newBuilder() to construct.
+  private ReportedLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private StatedLimit() {
+  private ReportedLimit() {
     target_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_descriptor;
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_descriptor;
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_fieldAccessorTable
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.mustardlane.protocol.StatedLimit.class, org.mustardlane.protocol.StatedLimit.Builder.class);
+            org.mustardlane.protocol.ReportedLimit.class, org.mustardlane.protocol.ReportedLimit.Builder.class);
   }
 
   private int bitField0_;
@@ -120,7 +120,7 @@
   private int ageMillis_ = 0;
   /**
    * <pre>
-   * Time since the sender or its peer received the statement from the target.
+   * Time since the sender or its peer received the report from the target.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
@@ -188,10 +188,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.mustardlane.protocol.StatedLimit)) {
+    if (!(obj instanceof org.mustardlane.protocol.ReportedLimit)) {
       return super.equals(obj);
     }
-    org.mustardlane.protocol.StatedLimit other = (org.mustardlane.protocol.StatedLimit) obj;
+    org.mustardlane.protocol.ReportedLimit other = (org.mustardlane.protocol.ReportedLimit) obj;
 
     if (!getTarget()
         .equals(other.getTarget())) return false;
@@ -228,44 +228,44 @@
     return hash;
   }
 
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(byte[] data)
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(java.io.InputStream input)
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -273,26 +273,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.mustardlane.protocol.StatedLimit parseDelimitedFrom(java.io.InputStream input)
+  public static org.mustardlane.protocol.ReportedLimit parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.mustardlane.protocol.StatedLimit parseDelimitedFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.mustardlane.protocol.StatedLimit parseFrom(
+  public static org.mustardlane.protocol.ReportedLimit parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -305,7 +305,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.mustardlane.protocol.StatedLimit prototype) {
+  public static Builder newBuilder(org.mustardlane.protocol.ReportedLimit prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -321,26 +321,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code mustardlane.StatedLimit}
+   * Protobuf type {@code mustardlane.ReportedLimit}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:mustardlane.StatedLimit)
-      org.mustardlane.protocol.StatedLimitOrBuilder {
+      // @@protoc_insertion_point(builder_implements:mustardlane.ReportedLimit)
+      org.mustardlane.protocol.ReportedLimitOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_descriptor;
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_fieldAccessorTable
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.mustardlane.protocol.StatedLimit.class, org.mustardlane.protocol.StatedLimit.Builder.class);
+              org.mustardlane.protocol.ReportedLimit.class, org.mustardlane.protocol.ReportedLimit.Builder.class);
     }
 
-    // Construct using org.mustardlane.protocol.StatedLimit.newBuilder()
+    // Construct using org.mustardlane.protocol.ReportedLimit.newBuilder()
     private Builder() {
 
     }
@@ -363,17 +363,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StatedLimit_descriptor;
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_ReportedLimit_descriptor;
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StatedLimit getDefaultInstanceForType() {
-      return org.mustardlane.protocol.StatedLimit.getDefaultInstance();
+    public org.mustardlane.protocol.ReportedLimit getDefaultInstanceForType() {
+      return org.mustardlane.protocol.ReportedLimit.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StatedLimit build() {
-      org.mustardlane.protocol.StatedLimit result = buildPartial();
+    public org.mustardlane.protocol.ReportedLimit build() {
+      org.mustardlane.protocol.ReportedLimit result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -381,14 +381,14 @@
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StatedLimit buildPartial() {
-      org.mustardlane.protocol.StatedLimit result = new org.mustardlane.protocol.StatedLimit(this);
+    public org.mustardlane.protocol.ReportedLimit buildPartial() {
+      org.mustardlane.protocol.ReportedLimit result = new org.mustardlane.protocol.ReportedLimit(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.mustardlane.protocol.StatedLimit result) {
+    private void buildPartial0(org.mustardlane.protocol.ReportedLimit result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.target_ = target_;
@@ -406,16 +406,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.mustardlane.protocol.StatedLimit) {
-        return mergeFrom((org.mustardlane.protocol.StatedLimit)other);
+      if (other instanceof org.mustardlane.protocol.ReportedLimit) {
+        return mergeFrom((org.mustardlane.protocol.ReportedLimit)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.mustardlane.protocol.StatedLimit other) {
-      if (other == org.mustardlane.protocol.StatedLimit.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.mustardlane.protocol.ReportedLimit other) {
+      if (other == org.mustardlane.protocol.ReportedLimit.getDefaultInstance()) return this;
       if (!other.getTarget().isEmpty()) {
         target_ = other.target_;
         bitField0_ |= 0x00000001;
@@ -614,7 +614,7 @@
     private int ageMillis_ ;
     /**
      * <pre>
-     * Time since the sender or its peer received the statement from the target.
+     * Time since the sender or its peer received the report from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -626,7 +626,7 @@
     }
     /**
      * <pre>
-     * Time since the sender or its peer received the statement from the target.
+     * Time since the sender or its peer received the report from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -642,7 +642,7 @@
     }
     /**
      * <pre>
-     * Time since the sender or its peer received the statement from the target.
+     * Time since the sender or its peer received the report from the target.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -655,23 +655,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:mustardlane.StatedLimit)
+    // @@protoc_insertion_point(builder_scope:mustardlane.ReportedLimit)
   }
 
-  // @@protoc_insertion_point(class_scope:mustardlane.StatedLimit)
-  private static final org.mustardlane.protocol.StatedLimit DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:mustardlane.ReportedLimit)
+  private static final org.mustardlane.protocol.ReportedLimit DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.mustardlane.protocol.StatedLimit();
+    DEFAULT_INSTANCE = new org.mustardlane.protocol.ReportedLimit();
   }
 
-  public static org.mustardlane.protocol.StatedLimit getDefaultInstance() {
+  public static org.mustardlane.protocol.ReportedLimit getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<StatedLimit>
-      PARSER = new com.google.protobuf.AbstractParser<StatedLimit>() {
+  private static final com.google.protobuf.Parser<ReportedLimit>
+      PARSER = new com.google.protobuf.AbstractParser<ReportedLimit>() {
     @java.lang.Override
-    public StatedLimit parsePartialFrom(
+    public ReportedLimit parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -690,17 +690,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<StatedLimit> parser() {
+  public static com.google.protobuf.Parser<ReportedLimit> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<StatedLimit> getParserForType() {
+  public com.google.protobuf.Parser<ReportedLimit> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.mustardlane.protocol.StatedLimit getDefaultInstanceForType() {
+  public org.mustardlane.protocol.ReportedLimit getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLimitOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/ReportedLimitOrBuilder.java
@@ -6,8 +6,8 @@
 package org.mustardlane.protocol;
 
 @com.google.protobuf.Generated
-public interface StatedLimitOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:mustardlane.StatedLimit)
+public interface ReportedLimitOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:mustardlane.ReportedLimit)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -43,7 +43,7 @@
 
   /**
    * <pre>
-   * Time since the sender or its peer received the statement from the target.
+   * Time since the sender or its peer received the report from the target.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedAnswerReport.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReport.java
@@ -6,13 +6,13 @@
 package org.mustardlane.protocol;
 
 /**
- * Protobuf type {@code mustardlane.StartedAnswerReport}
+ * Protobuf type {@code mustardlane.StartedResponseReport}
  */
 @com.google.protobuf.Generated
-public final class StartedAnswerReport extends
+public final class StartedResponseReport extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:mustardlane.StartedAnswerReport)
-    StartedAnswerReportOrBuilder {
+    // @@protoc_insertion_point(message_implements:mustardlane.StartedResponseReport)
+    StartedResponseReportOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,13 +21,13 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "StartedAnswerReport");
+      "StartedResponseReport");
   }
-  // Use StartedAnswerReport.newBuilder() to construct.
-  private StartedAnswerReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use StartedResponseReport.newBuilder() to construct.
+  private StartedResponseReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private StartedAnswerReport() {
+  private StartedResponseReport() {
     target_ = "";
     parts_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
@@ -35,20 +35,20 @@
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_descriptor;
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_descriptor;
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_fieldAccessorTable
+    return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.mustardlane.protocol.StartedAnswerReport.class, org.mustardlane.protocol.StartedAnswerReport.Builder.class);
+            org.mustardlane.protocol.StartedResponseReport.class, org.mustardlane.protocol.StartedResponseReport.Builder.class);
   }
 
   public static final int TARGET_FIELD_NUMBER = 1;
@@ -147,7 +147,7 @@
   private int ageMillis_ = 0;
   /**
    * <pre>
-   * Time since the answer began.
+   * Time since the response started.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
@@ -219,10 +219,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.mustardlane.protocol.StartedAnswerReport)) {
+    if (!(obj instanceof org.mustardlane.protocol.StartedResponseReport)) {
       return super.equals(obj);
     }
-    org.mustardlane.protocol.StartedAnswerReport other = (org.mustardlane.protocol.StartedAnswerReport) obj;
+    org.mustardlane.protocol.StartedResponseReport other = (org.mustardlane.protocol.StartedResponseReport) obj;
 
     if (!getTarget()
         .equals(other.getTarget())) return false;
@@ -254,44 +254,44 @@
     return hash;
   }
 
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(byte[] data)
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(java.io.InputStream input)
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -299,26 +299,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.mustardlane.protocol.StartedAnswerReport parseDelimitedFrom(java.io.InputStream input)
+  public static org.mustardlane.protocol.StartedResponseReport parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.mustardlane.protocol.StartedAnswerReport parseDelimitedFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.mustardlane.protocol.StartedAnswerReport parseFrom(
+  public static org.mustardlane.protocol.StartedResponseReport parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -331,7 +331,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.mustardlane.protocol.StartedAnswerReport prototype) {
+  public static Builder newBuilder(org.mustardlane.protocol.StartedResponseReport prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -347,26 +347,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code mustardlane.StartedAnswerReport}
+   * Protobuf type {@code mustardlane.StartedResponseReport}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:mustardlane.StartedAnswerReport)
-      org.mustardlane.protocol.StartedAnswerReportOrBuilder {
+      // @@protoc_insertion_point(builder_implements:mustardlane.StartedResponseReport)
+      org.mustardlane.protocol.StartedResponseReportOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_descriptor;
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_fieldAccessorTable
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.mustardlane.protocol.StartedAnswerReport.class, org.mustardlane.protocol.StartedAnswerReport.Builder.class);
+              org.mustardlane.protocol.StartedResponseReport.class, org.mustardlane.protocol.StartedResponseReport.Builder.class);
     }
 
-    // Construct using org.mustardlane.protocol.StartedAnswerReport.newBuilder()
+    // Construct using org.mustardlane.protocol.StartedResponseReport.newBuilder()
     private Builder() {
 
     }
@@ -390,17 +390,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedAnswerReport_descriptor;
+      return org.mustardlane.protocol.Knowledge.internal_static_mustardlane_StartedResponseReport_descriptor;
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StartedAnswerReport getDefaultInstanceForType() {
-      return org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance();
+    public org.mustardlane.protocol.StartedResponseReport getDefaultInstanceForType() {
+      return org.mustardlane.protocol.StartedResponseReport.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StartedAnswerReport build() {
-      org.mustardlane.protocol.StartedAnswerReport result = buildPartial();
+    public org.mustardlane.protocol.StartedResponseReport build() {
+      org.mustardlane.protocol.StartedResponseReport result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -408,14 +408,14 @@
     }
 
     @java.lang.Override
-    public org.mustardlane.protocol.StartedAnswerReport buildPartial() {
-      org.mustardlane.protocol.StartedAnswerReport result = new org.mustardlane.protocol.StartedAnswerReport(this);
+    public org.mustardlane.protocol.StartedResponseReport buildPartial() {
+      org.mustardlane.protocol.StartedResponseReport result = new org.mustardlane.protocol.StartedResponseReport(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.mustardlane.protocol.StartedAnswerReport result) {
+    private void buildPartial0(org.mustardlane.protocol.StartedResponseReport result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.target_ = target_;
@@ -431,16 +431,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.mustardlane.protocol.StartedAnswerReport) {
-        return mergeFrom((org.mustardlane.protocol.StartedAnswerReport)other);
+      if (other instanceof org.mustardlane.protocol.StartedResponseReport) {
+        return mergeFrom((org.mustardlane.protocol.StartedResponseReport)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.mustardlane.protocol.StartedAnswerReport other) {
-      if (other == org.mustardlane.protocol.StartedAnswerReport.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.mustardlane.protocol.StartedResponseReport other) {
+      if (other == org.mustardlane.protocol.StartedResponseReport.getDefaultInstance()) return this;
       if (!other.getTarget().isEmpty()) {
         target_ = other.target_;
         bitField0_ |= 0x00000001;
@@ -737,7 +737,7 @@
     private int ageMillis_ ;
     /**
      * <pre>
-     * Time since the answer began.
+     * Time since the response started.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -749,7 +749,7 @@
     }
     /**
      * <pre>
-     * Time since the answer began.
+     * Time since the response started.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -765,7 +765,7 @@
     }
     /**
      * <pre>
-     * Time since the answer began.
+     * Time since the response started.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -778,23 +778,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:mustardlane.StartedAnswerReport)
+    // @@protoc_insertion_point(builder_scope:mustardlane.StartedResponseReport)
   }
 
-  // @@protoc_insertion_point(class_scope:mustardlane.StartedAnswerReport)
-  private static final org.mustardlane.protocol.StartedAnswerReport DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:mustardlane.StartedResponseReport)
+  private static final org.mustardlane.protocol.StartedResponseReport DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.mustardlane.protocol.StartedAnswerReport();
+    DEFAULT_INSTANCE = new org.mustardlane.protocol.StartedResponseReport();
   }
 
-  public static org.mustardlane.protocol.StartedAnswerReport getDefaultInstance() {
+  public static org.mustardlane.protocol.StartedResponseReport getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<StartedAnswerReport>
-      PARSER = new com.google.protobuf.AbstractParser<StartedAnswerReport>() {
+  private static final com.google.protobuf.Parser<StartedResponseReport>
+      PARSER = new com.google.protobuf.AbstractParser<StartedResponseReport>() {
     @java.lang.Override
-    public StartedAnswerReport parsePartialFrom(
+    public StartedResponseReport parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -813,17 +813,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<StartedAnswerReport> parser() {
+  public static com.google.protobuf.Parser<StartedResponseReport> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<StartedAnswerReport> getParserForType() {
+  public com.google.protobuf.Parser<StartedResponseReport> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.mustardlane.protocol.StartedAnswerReport getDefaultInstanceForType() {
+  public org.mustardlane.protocol.StartedResponseReport getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedAnswerReportOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReportOrBuilder.java
@@ -6,8 +6,8 @@
 package org.mustardlane.protocol;
 
 @com.google.protobuf.Generated
-public interface StartedAnswerReportOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:mustardlane.StartedAnswerReport)
+public interface StartedResponseReportOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:mustardlane.StartedResponseReport)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -65,7 +65,7 @@
 
   /**
    * <pre>
-   * Time since the answer began.
+   * Time since the response started.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
