--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/RateShare.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/RateShare.java
@@ -11,17 +11,11 @@
  */
 final class RateShare {
 
-	/**
-	 * Fraction of the rate that is dealt out. Routers may know different rates and
-	 * different numbers of routers.
-	 */
-	private static final double SAFETY_FACTOR = 0.9;
-
 	/**
 	 * Longer than the usual time between two requests of one router, so that few permits
 	 * are lost.
 	 */
-	private static final int PERMIT_VALIDITY_MILLIS = 1500;
+	private static final int PERMIT_VALIDITY_MILLIS = 2000;
 
 	/**
 	 * Without any request the routers would not learn that the limit has ended.
@@ -57,7 +51,7 @@
 	}
 
 	private double perMillis(double perSecond) {
-		return SAFETY_FACTOR * Math.max(MIN_PER_SECOND, perSecond) / this.routers / MILLIS_PER_SECOND;
+		return Math.max(MIN_PER_SECOND, perSecond) / this.routers / MILLIS_PER_SECOND;
 	}
 
 	/**
