Push only what is new between routers, and limit the evidence in a message

With many engines lost at once each push carried all evidence and all loads: by reckoning some ten megabit a second for each of a hundred routers, when links have the least to spare. Pushes hold what was learnt since the last one, their replies nothing, regular digests at most 64 lost calls of the last ten seconds.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
@@ -67,6 +67,11 @@
 
 	private static final int MAX_LOST_CALLS = 512;
 
+	/**
+	 * Limits the size of messages between routers when many engines crash together.
+	 */
+	private static final int MAX_SHARED_CALLS = 64;
+
 	/**
 	 * The report of a lost call may arrive after responses that contradict it.
 	 */
@@ -97,7 +102,7 @@
 		if (call.parts().isEmpty() || isTooOld || this.lostCalls.containsKey(key)) {
 			return false;
 		}
-		Evidence added = new Evidence(call, this.startCount);
+		Evidence added = new Evidence(call, nowMillis, this.startCount);
 		this.lostCalls.put(key, added);
 		this.recentStarts.forEach((response) -> contradict(added, response));
 		if (this.lostCalls.size() > MAX_LOST_CALLS) {
@@ -187,16 +192,17 @@
 	}
 
 	/**
-	 * Returns the lost calls of the recent past.
-	 * @param sinceMillis time after which the calls were lost
-	 * @return the calls, which other routers should know
+	 * Returns the lost calls that this router has learnt of recently.
+	 * @param sinceMillis time after which this router learnt of them
+	 * @return the newest calls up to a maximum number, which other routers should know
 	 */
-	public List<LostCall> lostCallsSince(long sinceMillis) {
-		return this.lostCalls.values()
+	public List<LostCall> lostCallsLearntAfter(long sinceMillis) {
+		List<LostCall> calls = this.lostCalls.values()
 			.stream()
+			.filter((evidence) -> evidence.learntAtMillis > sinceMillis)
 			.map((evidence) -> evidence.call)
-			.filter((call) -> call.lostAtMillis() > sinceMillis)
 			.toList();
+		return calls.subList(Math.max(0, calls.size() - MAX_SHARED_CALLS), calls.size());
 	}
 
 	/**
@@ -334,12 +340,15 @@
 
 		private final LostCall call;
 
+		private final long learntAtMillis;
+
 		private final long startCountBefore;
 
 		private boolean disproved;
 
-		Evidence(LostCall call, long startCountBefore) {
+		Evidence(LostCall call, long learntAtMillis, long startCountBefore) {
 			this.call = call;
+			this.learntAtMillis = learntAtMillis;
 			this.startCountBefore = startCountBefore;
 		}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -182,8 +182,19 @@
 		LostCall call = lose("t-1", "dead", 1000);
 		assertFalse(this.evidence.addLostCall(call, 1500));
 		assertFalse(this.evidence.addLostCall(new LostCall(call.target(), "r", List.of(), 1000), 1500));
-		assertEquals(this.evidence.lostCallsSince(999), List.of(call));
-		assertEquals(this.evidence.lostCallsSince(1000), List.of());
+		assertEquals(this.evidence.lostCallsLearntAfter(999), List.of(call));
+		assertEquals(this.evidence.lostCallsLearntAfter(1000), List.of());
+	}
+
+	@Test
+	public void numberOfSharedCallsIsLimitedAndTheNewestAreShared() {
+		LostCall newest = lose("t-0", "a", 1000);
+		for (int call = 1; call < 300; call++) {
+			newest = lose("t-" + call, "a", 1000 + call);
+		}
+		List<LostCall> shared = this.evidence.lostCallsLearntAfter(0);
+		assertEquals(shared.size(), 64);
+		assertEquals(shared.get(63), newest);
 	}
 
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/EvidenceCodec.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/EvidenceCodec.java
@@ -18,6 +18,11 @@
  */
 final class EvidenceCodec {
 
+	/**
+	 * Time that a response may have taken from the router where it started to this one.
+	 */
+	private static final int MAX_RELAY_MILLIS = 1000;
+
 	private EvidenceCodec() {
 	}
 
@@ -25,16 +30,17 @@
 	 * Adds recent evidence and the quarantines in force to a digest.
 	 * @param digest digest to add to
 	 * @param quarantine what this router knows
+	 * @param sinceMillis time from which on evidence is recent
 	 * @param nowMillis current time
 	 */
-	static void addTo(KnowledgeDigest.Builder digest, PromptQuarantine quarantine, long nowMillis) {
-		quarantine.recentLostCalls()
+	static void addTo(KnowledgeDigest.Builder digest, PromptQuarantine quarantine, long sinceMillis, long nowMillis) {
+		quarantine.lostCallsLearntAfter(sinceMillis)
 			.forEach((call) -> digest.addLostCalls(LostCallReport.newBuilder()
 				.setTarget(call.target().value())
 				.setRequestId(call.requestId())
 				.addAllParts(names(call.parts()))
 				.setAgeMillis(ageMillis(call.lostAtMillis(), nowMillis))));
-		quarantine.recentContradictions()
+		quarantine.contradictionsSince(sinceMillis - MAX_RELAY_MILLIS)
 			.forEach((response) -> digest.addStartedResponses(StartedResponseReport.newBuilder()
 				.setTarget(response.target().value())
 				.addAllParts(names(response.parts()))
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -53,6 +53,11 @@
 	 */
 	private static final int PUSH_DELAY_MILLIS = 50;
 
+	/**
+	 * Evidence that regular digests hold, in addition to what is pushed once.
+	 */
+	private static final int RECENT_EVIDENCE_MILLIS = 10_000;
+
 	/**
 	 * Routers that do not know each other yet must not exceed the limits together.
 	 */
@@ -93,6 +98,8 @@
 
 	private boolean pushScheduled;
 
+	private long lastPushMillis;
+
 	private final Map<PeerAddress, ManagedChannel> channels = new LinkedHashMap<>(16, 0.75f, true);
 
 	/**
@@ -150,8 +157,14 @@
 
 	private void pushDigest() {
 		this.pushScheduled = false;
-		KnowledgeDigest digest = createDigest();
-		this.registry.neighbours(this.clock.nowMillis()).forEach((peer) -> sendDigest(peer, digest));
+		long nowMillis = this.clock.nowMillis();
+		KnowledgeDigest.Builder digest = createHeader().setNewsOnly(true);
+		LimitCodec.addTo(digest, this.loads, nowMillis);
+		EvidenceCodec.addTo(digest, this.quarantine, this.lastPushMillis, nowMillis);
+		// What is learnt within this millisecond is pushed again.
+		this.lastPushMillis = nowMillis - 1;
+		KnowledgeDigest news = digest.build();
+		this.registry.neighbours(nowMillis).forEach((peer) -> sendDigest(peer, news));
 	}
 
 	private void runRound() {
@@ -221,21 +234,26 @@
 	}
 
 	private KnowledgeDigest createDigest() {
-		KnowledgeDigest.Builder digest = KnowledgeDigest.newBuilder()
+		long nowMillis = this.clock.nowMillis();
+		KnowledgeDigest.Builder digest = createHeader();
+		DigestCodec.addLoads(digest, this.loads, nowMillis);
+		LimitCodec.addTo(digest, this.loads, nowMillis);
+		EvidenceCodec.addTo(digest, this.quarantine, nowMillis - RECENT_EVIDENCE_MILLIS, nowMillis);
+		return digest.build();
+	}
+
+	private KnowledgeDigest.Builder createHeader() {
+		return KnowledgeDigest.newBuilder()
 			.setSender(this.ownAddress)
 			.setRoutesVersion(this.routingState.routesVersion())
 			.setTargetsOffset(this.routingState.peerRequestOffset())
 			.setLogLost(this.routingState.needsPeerRecords());
-		DigestCodec.addLoads(digest, this.loads, this.clock.nowMillis());
-		LimitCodec.addTo(digest, this.loads, this.clock.nowMillis());
-		EvidenceCodec.addTo(digest, this.quarantine, this.clock.nowMillis());
-		return digest.build();
 	}
 
 	@Override
 	public void exchange(KnowledgeDigest request, StreamObserver<KnowledgeDigest> responseObserver) {
 		applyDigest(request);
-		KnowledgeDigest.Builder reply = createDigest().toBuilder();
+		KnowledgeDigest.Builder reply = request.getNewsOnly() ? createHeader() : createDigest().toBuilder();
 		if (request.getRoutesVersion() < this.routingState.routesVersion()) {
 			this.routingState.routesRecord().map(DigestCodec::encode).ifPresent(reply::setRoutes);
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
@@ -31,11 +31,6 @@
 	 */
 	private static final int QUARANTINE_MILLIS = 600_000;
 
-	/**
-	 * Other routers have received older evidence long ago.
-	 */
-	private static final int SHARED_MILLIS = 30_000;
-
 	private final MonotonicClock clock;
 
 	private final LongSupplier unixMillis;
@@ -158,19 +153,21 @@
 	}
 
 	/**
-	 * Returns the lost calls that other routers should know.
-	 * @return the calls
+	 * Returns the lost calls that this router has learnt of recently.
+	 * @param sinceMillis time after which this router learnt of them
+	 * @return the newest calls up to a maximum number
 	 */
-	public List<LostCall> recentLostCalls() {
-		return this.evidence.lostCallsSince(this.clock.nowMillis() - SHARED_MILLIS);
+	public List<LostCall> lostCallsLearntAfter(long sinceMillis) {
+		return this.evidence.lostCallsLearntAfter(sinceMillis);
 	}
 
 	/**
-	 * Returns the responses that contradict evidence and that other routers should know.
+	 * Returns the responses of the recent past that contradict evidence.
+	 * @param sinceMillis time after which the responses started
 	 * @return the responses
 	 */
-	public List<StartedResponse> recentContradictions() {
-		return this.evidence.contradictionsSince(this.clock.nowMillis() - SHARED_MILLIS);
+	public List<StartedResponse> contradictionsSince(long sinceMillis) {
+		return this.evidence.contradictionsSince(sinceMillis);
 	}
 
 	/**
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
@@ -530,6 +530,21 @@
     return limits_.get(index);
   }
 
+  public static final int NEWS_ONLY_FIELD_NUMBER = 12;
+  private boolean newsOnly_ = false;
+  /**
+   * <pre>
+   * True for urgent news between the regular digests; the reply needs no loads and no evidence.
+   * </pre>
+   *
+   * <code>bool news_only = 12;</code>
+   * @return The newsOnly.
+   */
+  @java.lang.Override
+  public boolean getNewsOnly() {
+    return newsOnly_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -577,6 +592,9 @@
     for (int i = 0; i < limits_.size(); i++) {
       output.writeMessage(11, limits_.get(i));
     }
+    if (newsOnly_ != false) {
+      output.writeBool(12, newsOnly_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -655,6 +673,10 @@
           }
           size += 1 * count;
         }
+    if (newsOnly_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, newsOnly_);
+    }
     return size;
   }
   @java.lang.Override
@@ -707,6 +729,8 @@
         .equals(other.getQuarantinesList())) return false;
     if (!getLimitsList()
         .equals(other.getLimitsList())) return false;
+    if (getNewsOnly()
+        != other.getNewsOnly()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -759,6 +783,9 @@
       hash = (37 * hash) + LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getLimitsList().hashCode();
     }
+    hash = (37 * hash) + NEWS_ONLY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNewsOnly());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -958,6 +985,7 @@
         limitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000400);
+      newsOnly_ = false;
       return this;
     }
 
@@ -1071,6 +1099,9 @@
             : routesBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.newsOnly_ = newsOnly_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1257,6 +1288,9 @@
           }
         }
       }
+      if (other.getNewsOnly() != false) {
+        setNewsOnly(other.getNewsOnly());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1388,6 +1422,11 @@
               }
               break;
             } // case 90
+            case 96: {
+              newsOnly_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3647,6 +3686,50 @@
       return limitsBuilder_;
     }
 
+    private boolean newsOnly_ ;
+    /**
+     * <pre>
+     * True for urgent news between the regular digests; the reply needs no loads and no evidence.
+     * </pre>
+     *
+     * <code>bool news_only = 12;</code>
+     * @return The newsOnly.
+     */
+    @java.lang.Override
+    public boolean getNewsOnly() {
+      return newsOnly_;
+    }
+    /**
+     * <pre>
+     * True for urgent news between the regular digests; the reply needs no loads and no evidence.
+     * </pre>
+     *
+     * <code>bool news_only = 12;</code>
+     * @param value The newsOnly to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNewsOnly(boolean value) {
+
+      newsOnly_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True for urgent news between the regular digests; the reply needs no loads and no evidence.
+     * </pre>
+     *
+     * <code>bool news_only = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNewsOnly() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      newsOnly_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.KnowledgeDigest)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
@@ -345,4 +345,14 @@
    */
   org.mustardlane.protocol.ReportedLimitOrBuilder getLimitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * True for urgent news between the regular digests; the reply needs no loads and no evidence.
+   * </pre>
+   *
+   * <code>bool news_only = 12;</code>
+   * @return The newsOnly.
+   */
+  boolean getNewsOnly();
 }
