--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -1,22 +1,17 @@
 package org.mustardlane.gateway.exchange;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.PromptPartId;
-import org.mustardlane.core.model.common.TargetId;
-import org.mustardlane.core.placement.PlacementRequest;
 import org.mustardlane.core.quarantine.LostCall;
 import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.core.retry.AttemptFailure;
@@ -62,7 +57,7 @@
 
 	private final ResponseSink responseSink;
 
-	private final Set<TargetId> triedTargets = new HashSet<>();
+	private final TargetSelector targetSelector;
 
 	private Optional<Attempt> currentAttempt = Optional.empty();
 
@@ -84,6 +79,7 @@
 		this.caller = caller;
 		this.onEnd = onEnd;
 		this.responseSink = new ResponseSink(caller);
+		this.targetSelector = new TargetSelector(context, routedCall);
 	}
 
 	/**
@@ -122,11 +118,10 @@
 		if (this.ended) {
 			return;
 		}
-		Optional<TargetEntry> target = chooseTarget();
+		Optional<TargetEntry> target = this.targetSelector.choose();
 		if (target.isEmpty()) {
 			long defaultDelayMillis = RetryAfter.refusalDelayMillis(this.context.nextRandom());
-			giveUp("No target takes the call",
-					untriedTargets().mapToLong(this::millisUntilAdmitted).min().orElse(defaultDelayMillis));
+			giveUp("No target takes the call", this.targetSelector.millisUntilCandidate().orElse(defaultDelayMillis));
 			return;
 		}
 		sendTo(target.get());
@@ -149,30 +144,11 @@
 		});
 	}
 
-	private Optional<TargetEntry> chooseTarget() {
-		List<TargetEntry> candidates = untriedTargets().filter((target) -> millisUntilAdmitted(target) == 0).toList();
-		return this.context.placementPolicy()
-			.choose(new PlacementRequest(candidates, this.routedCall.prefix(), this.context.domain(),
-					this.context.nowMillis()), this.context.loads());
-	}
-
-	private Stream<TargetEntry> untriedTargets() {
-		return this.context.routingState()
-			.targets()
-			.readyTargets(this.routedCall.pool())
-			.stream()
-			.filter((target) -> !this.triedTargets.contains(target.id()));
-	}
-
-	private long millisUntilAdmitted(TargetEntry target) {
-		return this.context.loads().of(target.id()).millisUntilAdmitted(this.context.nowMillis());
-	}
-
 	private void sendTo(TargetEntry target) {
 		this.sendCount++;
-		this.triedTargets.add(target.id());
+		this.targetSelector.markTried(target.id());
 		this.lastTargetId = target.id().value();
-		Optional<TargetEntry> copySource = findCopySource(target);
+		Optional<TargetEntry> copySource = this.targetSelector.findCopySource(target);
 		Attempt attempt = new Attempt(this.context, this, target);
 		this.currentAttempt = Optional.of(attempt);
 		Call call = this.routedCall.call();
@@ -190,18 +166,6 @@
 		return Optional.of(this.context.dialect().createTargetRequest(this.routedCall.call().request(), dispatch));
 	}
 
-	private Optional<TargetEntry> findCopySource(TargetEntry target) {
-		if (!this.routedCall.copiesPrefixes()) {
-			return Optional.empty();
-		}
-		List<TargetEntry> poolTargets = this.context.routingState().targets().readyTargets(this.routedCall.pool());
-		return this.routedCall.prefix()
-			.flatMap((prefix) -> this.context.prefixHolders()
-				.findCopySource(prefix, target, poolTargets, this.context.nowMillis()))
-			.filter((
-					source) -> !this.context.loads().isPaused(source, this.context.domain(), this.context.nowMillis()));
-	}
-
 	String requestId() {
 		return this.routedCall.call().head().requestId();
 	}
@@ -278,7 +242,7 @@
 			return NextStep.GIVE_UP;
 		}
 		if (step == NextStep.RETRY_WITHIN_BUDGET
-				&& !(hasUntriedTarget() && this.context.tryAcquireRetry(this.routedCall.pool()))) {
+				&& !(this.targetSelector.hasCandidate() && this.context.tryAcquireRetry(this.routedCall.pool()))) {
 			return (failure == AttemptFailure.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
 		}
 		return step;
@@ -342,8 +306,8 @@
 		CallState stateWithAttempt = new CallState(route().semantics(),
 				executionCounted ? this.possibleExecutions : this.possibleExecutions + 1, route().maxAttempts(),
 				this.sendCount);
-		return hasUntriedTarget() && this.responseSink.canResume() && RetryRules.canRunAgain(stateWithAttempt)
-				&& this.context.tryAcquireRetry(this.routedCall.pool());
+		return this.targetSelector.hasCandidate() && this.responseSink.canResume()
+				&& RetryRules.canRunAgain(stateWithAttempt) && this.context.tryAcquireRetry(this.routedCall.pool());
 	}
 
 	/**
@@ -368,11 +332,7 @@
 	 * @param target the target
 	 */
 	void allowAgain(TargetEntry target) {
-		this.triedTargets.remove(target.id());
-	}
-
-	private boolean hasUntriedTarget() {
-		return untriedTargets().anyMatch((target) -> millisUntilAdmitted(target) == 0);
+		this.targetSelector.allowAgain(target.id());
 	}
 
 	private CallState callState() {
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/TargetSelector.java
@@ -0,0 +1,107 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.placement.PlacementRequest;
+
+/**
+ * Selects the targets of one call. Each target is tried once, and only while this router
+ * may send it requests within the limit of the target.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+final class TargetSelector {
+
+	private final ExchangeContext context;
+
+	private final RoutedCall routedCall;
+
+	private final Set<TargetId> triedTargets = new HashSet<>();
+
+	TargetSelector(ExchangeContext context, RoutedCall routedCall) {
+		this.context = context;
+		this.routedCall = routedCall;
+	}
+
+	/**
+	 * Chooses the target of the next attempt.
+	 * @return the target, or empty if no target may be sent the call now
+	 */
+	Optional<TargetEntry> choose() {
+		PlacementRequest request = new PlacementRequest(candidates().toList(), this.routedCall.prefix(),
+				this.context.domain(), this.context.nowMillis());
+		return this.context.placementPolicy().choose(request, this.context.loads());
+	}
+
+	private Stream<TargetEntry> candidates() {
+		return untriedTargets().filter((target) -> millisUntilAdmitted(target) == 0);
+	}
+
+	private Stream<TargetEntry> untriedTargets() {
+		return poolTargets().stream().filter((target) -> !this.triedTargets.contains(target.id()));
+	}
+
+	private List<TargetEntry> poolTargets() {
+		return this.context.routingState().targets().readyTargets(this.routedCall.pool());
+	}
+
+	private long millisUntilAdmitted(TargetEntry target) {
+		return this.context.loads().of(target.id()).millisUntilAdmitted(this.context.nowMillis());
+	}
+
+	/**
+	 * Returns whether another target may be sent the call now.
+	 * @return true if there is one
+	 */
+	boolean hasCandidate() {
+		return candidates().findAny().isPresent();
+	}
+
+	/**
+	 * Returns the time until an untried target may be sent the call.
+	 * @return the time in milliseconds, or empty if all targets were tried
+	 */
+	OptionalLong millisUntilCandidate() {
+		return untriedTargets().mapToLong(this::millisUntilAdmitted).min();
+	}
+
+	/**
+	 * Excludes a target from further attempts.
+	 * @param target the target
+	 */
+	void markTried(TargetId target) {
+		this.triedTargets.add(target);
+	}
+
+	/**
+	 * Lets a further attempt go to a target that was tried before.
+	 * @param target the target
+	 */
+	void allowAgain(TargetId target) {
+		this.triedTargets.remove(target);
+	}
+
+	/**
+	 * Finds an engine from which a target can copy the prefix of the prompt.
+	 * @param target the target of the next attempt
+	 * @return the engine, or empty if nothing is to be copied
+	 */
+	Optional<TargetEntry> findCopySource(TargetEntry target) {
+		if (!this.routedCall.copiesPrefixes()) {
+			return Optional.empty();
+		}
+		long nowMillis = this.context.nowMillis();
+		return this.routedCall.prefix()
+			.flatMap((prefix) -> this.context.prefixHolders().findCopySource(prefix, target, poolTargets(), nowMillis))
+			.filter((source) -> !this.context.loads().isPaused(source, this.context.domain(), nowMillis));
+	}
+
+}
