--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -78,20 +77,6 @@
 
 	private static final int PUBLISH_RETRY_MILLIS = 1000;
 
-	/**
-	 * The load balancer checks readiness once a second and opens no new connections after
-	 * two failed checks.
-	 */
-	private static final int BALANCER_REMOVAL_MILLIS = 2500;
-
-	/**
-	 * Connections opened before the load balancer saw the failed checks have sent their
-	 * call by then.
-	 */
-	private static final int MIN_DRAIN_MILLIS = 3000;
-
-	private static final int DRAIN_CHECK_INTERVAL_MILLIS = 50;
-
 	/**
 	 * Limits in force until the first routes, which carry their own limits, are loaded.
 	 */
@@ -140,11 +125,7 @@
 
 	private final CountDownLatch routingReady = new CountDownLatch(1);
 
-	private final CountDownLatch drainFinished = new CountDownLatch(1);
-
-	private volatile boolean draining;
-
-	private long drainStartedAtMillis;
+	private final GracefulShutdown shutdown;
 
 	private volatile int peerPort;
 
@@ -155,6 +136,7 @@
 	 */
 	public Gateway(GatewaySettings settings, GatewayAdapter adapter) {
 		this.settings = settings;
+		this.shutdown = new GracefulShutdown(this.loop, this.clock, this.log, () -> this.settings.drainMillis());
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
 		this.quarantine = new PromptQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
@@ -162,11 +144,11 @@
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
 				this::announceNews, this.loopLag, this.quarantine, settings.domain(),
 				() -> ThreadLocalRandom.current().nextDouble());
-		this.callRouter = new CallRouter(this.context, this::shutdownDeadlineMillis);
+		this.callRouter = new CallRouter(this.context, this.shutdown::deadlineMillis);
 		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
-				() -> this.draining, this.clock, this.log);
+				this.shutdown::isStarted, this.clock, this.log);
 		this.recordLog = adapter.openLog(this.eventLoops);
 		this.routesFollower = new TopicFollower(this.recordLog, Topic.ROUTES,
 				ReadPolicy.longPolling(settings.maxRoutesDelayMillis()),
@@ -256,7 +238,7 @@
 
 	private void delayPeerStart() {
 		try {
-			this.drainFinished.await(this.settings.peerStartDelayMillis(), TimeUnit.MILLISECONDS);
+			this.shutdown.awaitEnd(this.settings.peerStartDelayMillis());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -370,13 +352,8 @@
 				() -> findings.forEach((finding) -> this.log.warn(LogEvent.SETTINGS_REJECTED, "finding", finding)));
 	}
 
-	private OptionalLong shutdownDeadlineMillis() {
-		return this.draining ? OptionalLong.of(this.drainStartedAtMillis + this.settings.drainMillis())
-				: OptionalLong.empty();
-	}
-
 	private boolean isReady() {
-		return !this.draining && this.routingState.isComplete();
+		return !this.shutdown.isStarted() && this.routingState.isComplete();
 	}
 
 	/**
@@ -385,32 +362,7 @@
 	 * idle or the drain time has passed.
 	 */
 	public void drain() {
-		this.loop.execute(() -> {
-			if (this.draining) {
-				return;
-			}
-			this.drainStartedAtMillis = this.clock.nowMillis();
-			this.draining = true;
-			this.log.write(LogEvent.DRAINING, "openCalls", this.callRouter.openCalls());
-			checkDrain();
-		});
-	}
-
-	private void checkDrain() {
-		long elapsedMillis = this.clock.nowMillis() - this.drainStartedAtMillis;
-		if (elapsedMillis >= BALANCER_REMOVAL_MILLIS) {
-			// A caller that keeps its connection would send its next call to a router
-			// that is shutting down.
-			this.frontServer.closeIdleConnections();
-		}
-		boolean idle = this.callRouter.openCalls() == 0 && this.frontServer.countBusyConnections() == 0;
-		if ((idle && elapsedMillis >= MIN_DRAIN_MILLIS) || elapsedMillis >= this.settings.drainMillis()) {
-			this.log.write(LogEvent.STOPPED, "openCalls", this.callRouter.openCalls(), "drainMillis", elapsedMillis);
-			this.frontServer.stopListening();
-			this.drainFinished.countDown();
-			return;
-		}
-		this.loop.schedule(this::checkDrain, DRAIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.execute(() -> this.shutdown.start(this.callRouter, this.frontServer));
 	}
 
 	/**
@@ -420,7 +372,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public boolean awaitDrained(long timeoutMillis) throws InterruptedException {
-		return this.drainFinished.await(timeoutMillis, TimeUnit.MILLISECONDS);
+		return this.shutdown.awaitEnd(timeoutMillis);
 	}
 
 	@Override
