--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
@@ -63,6 +63,9 @@
 	 */
 	private static final int MIN_RESTART_MILLIS = 1500;
 
+	/**
+	 * Not longer than a quarantine, whose crashes would otherwise set it again.
+	 */
 	private static final int RETENTION_MILLIS = 600_000;
 
 	private static final int MAX_LOST_CALLS = 512;
@@ -222,6 +225,7 @@
 	 * empty if no part explains enough crashes
 	 */
 	public Optional<Set<PromptPartId>> findCause(Collection<Quarantine> quarantines, long nowMillis) {
+		removeOld(nowMillis);
 		List<Suspicion> suspicions = suspicions(nowMillis);
 		Set<Crash> explained = suspicions.stream()
 			.filter((suspicion) -> quarantines.stream().anyMatch((rule) -> rule.matches(suspicion.call().parts())))
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -177,6 +177,16 @@
 		assertEquals(this.evidence.findCause(List.of(), 5500), cause("dead"));
 	}
 
+	@Test
+	public void oldCrashesAreNoEvidenceAfterTheEndOfTheirQuarantine() {
+		lose("t-1", "dead", 1000);
+		lose("t-2", "dead", 3000);
+		lose("t-3", "dead", 5000);
+		startOthers(5500);
+		assertEquals(findCause(), cause("dead"));
+		assertEquals(this.evidence.findCause(List.of(), 605_400), Optional.empty());
+	}
+
 	@Test
 	public void repeatedReportIsNotNew() {
 		LostCall call = lose("t-1", "dead", 1000);
