Grant no additional permits for reports of a limit that arrive late

A response without a limit from a target without one no longer looks up the position in the fleet; a malformed limit from a peer is logged like malformed evidence.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/RateShare.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/RateShare.java
@@ -67,8 +67,10 @@
 	}
 
 	private void advance(long nowMillis) {
-		this.turns += this.perMillis * Math.max(0, nowMillis - this.updatedAtMillis);
-		this.updatedAtMillis = nowMillis;
+		// A report that was relayed is older than the newest use of a permit.
+		long elapsedMillis = Math.max(0, nowMillis - this.updatedAtMillis);
+		this.turns += this.perMillis * elapsedMillis;
+		this.updatedAtMillis += elapsedMillis;
 		double expiredTurns = Math.floor(this.turns - this.perMillis * PERMIT_VALIDITY_MILLIS);
 		this.usedTurns = Math.max(this.usedTurns, expiredTurns);
 	}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
@@ -98,6 +98,22 @@
 		assertTrue(mostInAWindow(sentAtMillis) <= allowed(3));
 	}
 
+	@Test
+	public void reportsThatArriveLateGrantNoAdditionalPermits() {
+		Random random = new Random(1);
+		FleetPosition position = new FleetPosition(0, 10);
+		RateShare share = new RateShare(position, 5, 0);
+		int sent = 0;
+		for (int nowMillis = 0; nowMillis < RUN_MILLIS; nowMillis += STEP_MILLIS) {
+			share.setRate(position, 5, nowMillis - random.nextInt(1500));
+			if (share.hasPermit(nowMillis)) {
+				share.usePermit(nowMillis);
+				sent++;
+			}
+		}
+		assertEquals(sent, 5 * RUN_MILLIS / 1000 / 10, 1);
+	}
+
 	@Test
 	public void timeUntilAPermitIsExact() {
 		RateShare share = new RateShare(new FleetPosition(0, 10), 5, 0);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -165,11 +165,11 @@
 		forwardResponse(head);
 	}
 
-	// A rejection may come from another target at the same address, or from one that is
-	// too
-	// busy to state its limit.
+	// A rejection may come from another target at the same address, or lack the limit.
 	private void updateLimit(ResponseHead head, long nowMillis) {
-		if (head.status() == MISDIRECTED_REQUEST || (head.notExecuted() && head.limitPerSecond().isEmpty())) {
+		boolean hasLimit = head.limitPerSecond().isPresent();
+		boolean isUnchanged = !hasLimit && !this.load.limit().isLimited();
+		if (isUnchanged || head.status() == MISDIRECTED_REQUEST || (head.notExecuted() && !hasLimit)) {
 			return;
 		}
 		if (this.load.updateLimit(new TargetLimit(head.limitPerSecond(), nowMillis), this.context.fleetPosition())) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -275,8 +275,17 @@
 		List<KeyedRecord> relayedTargets = digest.getTargetsList().stream().map(DigestCodec::decode).toList();
 		this.routingState.applyRelayedTargets(relayedTargets);
 		DigestCodec.applyLoads(digest, this.loads, this.clock.nowMillis());
-		applyLimits(digest, sender);
-		applyEvidence(digest, sender);
+		applyNews(digest, sender);
+	}
+
+	private void applyNews(KnowledgeDigest digest, VmId sender) {
+		try {
+			applyLimits(digest, sender);
+			EvidenceCodec.apply(digest, sender.value(), this.quarantine, this.clock.nowMillis());
+		}
+		catch (IllegalArgumentException ex) {
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", sender, "reason", ex);
+		}
 	}
 
 	private void applyLimits(KnowledgeDigest digest, VmId sender) {
@@ -290,15 +299,6 @@
 		}
 	}
 
-	private void applyEvidence(KnowledgeDigest digest, VmId sender) {
-		try {
-			EvidenceCodec.apply(digest, sender.value(), this.quarantine, this.clock.nowMillis());
-		}
-		catch (IllegalArgumentException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", sender, "reason", ex);
-		}
-	}
-
 	/**
 	 * Adds a router or updates its address.
 	 * @param vm the VM of the router
