--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/TargetSelector.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
@@ -12,13 +12,13 @@
 import org.mustardlane.core.placement.PlacementRequest;
 
 /**
- * Selects the targets of one call. Each target is tried once, and only while this router
- * may send it requests within the limit of the target.
+ * The targets that one call may be sent to. Each target is tried once, and only while
+ * this router may send it requests within the limit of the target.
  *
  * <p>
  * Confined to the event loop of the daemon.
  */
-final class TargetSelector {
+final class CallTargets {
 
 	private final ExchangeContext context;
 
@@ -26,7 +26,7 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
-	TargetSelector(ExchangeContext context, RoutedCall routedCall) {
+	CallTargets(ExchangeContext context, RoutedCall routedCall) {
 		this.context = context;
 		this.routedCall = routedCall;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -57,7 +57,7 @@
 
 	private final ResponseSink responseSink;
 
-	private final TargetSelector targetSelector;
+	private final CallTargets callTargets;
 
 	private Optional<Attempt> currentAttempt = Optional.empty();
 
@@ -79,7 +79,7 @@
 		this.caller = caller;
 		this.onEnd = onEnd;
 		this.responseSink = new ResponseSink(caller);
-		this.targetSelector = new TargetSelector(context, routedCall);
+		this.callTargets = new CallTargets(context, routedCall);
 	}
 
 	/**
@@ -118,10 +118,10 @@
 		if (this.ended) {
 			return;
 		}
-		Optional<TargetEntry> target = this.targetSelector.choose();
+		Optional<TargetEntry> target = this.callTargets.choose();
 		if (target.isEmpty()) {
 			long defaultDelayMillis = RetryAfter.refusalDelayMillis(this.context.nextRandom());
-			giveUp("No target takes the call", this.targetSelector.millisUntilCandidate().orElse(defaultDelayMillis));
+			giveUp("No target takes the call", this.callTargets.millisUntilCandidate().orElse(defaultDelayMillis));
 			return;
 		}
 		sendTo(target.get());
@@ -146,9 +146,9 @@
 
 	private void sendTo(TargetEntry target) {
 		this.sendCount++;
-		this.targetSelector.markTried(target.id());
+		this.callTargets.markTried(target.id());
 		this.lastTargetId = target.id().value();
-		Optional<TargetEntry> copySource = this.targetSelector.findCopySource(target);
+		Optional<TargetEntry> copySource = this.callTargets.findCopySource(target);
 		Attempt attempt = new Attempt(this.context, this, target);
 		this.currentAttempt = Optional.of(attempt);
 		Call call = this.routedCall.call();
@@ -242,7 +242,7 @@
 			return NextStep.GIVE_UP;
 		}
 		if (step == NextStep.RETRY_WITHIN_BUDGET
-				&& !(this.targetSelector.hasCandidate() && this.context.tryAcquireRetry(this.routedCall.pool()))) {
+				&& !(this.callTargets.hasCandidate() && this.context.tryAcquireRetry(this.routedCall.pool()))) {
 			return (failure == AttemptFailure.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
 		}
 		return step;
@@ -306,7 +306,7 @@
 		CallState stateWithAttempt = new CallState(route().semantics(),
 				executionCounted ? this.possibleExecutions : this.possibleExecutions + 1, route().maxAttempts(),
 				this.sendCount);
-		return this.targetSelector.hasCandidate() && this.responseSink.canResume()
+		return this.callTargets.hasCandidate() && this.responseSink.canResume()
 				&& RetryRules.canRunAgain(stateWithAttempt) && this.context.tryAcquireRetry(this.routedCall.pool());
 	}
 
@@ -332,7 +332,7 @@
 	 * @param target the target
 	 */
 	void allowAgain(TargetEntry target) {
-		this.targetSelector.allowAgain(target.id());
+		this.callTargets.allowAgain(target.id());
 	}
 
 	private CallState callState() {
