--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/DirectoryRecord.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/DirectoryRecord.java
@@ -8,10 +8,10 @@
  * A record of the platform log about one target.
  *
  * @param id name of the target
- * @param offset offset in the log, higher for newer records
+ * @param position position in the log
  * @param entry the entry of the target, empty if the record removes the target or cannot
  * be decoded
  */
-public record DirectoryRecord(TargetId id, long offset, Optional<TargetEntry> entry) {
+public record DirectoryRecord(TargetId id, LogPosition position, Optional<TargetEntry> entry) {
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetChange.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetChange.java
@@ -10,7 +10,9 @@
  * @param id the target
  * @param before the previous state, empty if the target was unknown
  * @param after the new state, empty if the target was removed
+ * @param position position of the record that caused the change
  */
-public record TargetChange(TargetId id, Optional<TargetState> before, Optional<TargetState> after) {
+public record TargetChange(TargetId id, Optional<TargetState> before, Optional<TargetState> after,
+		LogPosition position) {
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -75,7 +75,7 @@
 		boolean entriesChanged = false;
 		for (DirectoryRecord change : changes) {
 			DirectoryRecord knownRecord = this.records.get(change.id());
-			if (knownRecord != null && knownRecord.offset() >= change.offset()) {
+			if (isOutdated(change, knownRecord)) {
 				continue;
 			}
 			Optional<TargetState> before = state(knownRecord);
@@ -84,7 +84,7 @@
 			Optional<TargetState> after = state(this.records.get(change.id()));
 			entriesChanged |= !entryBefore.equals(entry(this.records.get(change.id())));
 			if (!before.equals(after)) {
-				targetChanges.add(new TargetChange(change.id(), before, after));
+				targetChanges.add(new TargetChange(change.id(), before, after, change.position()));
 			}
 		}
 		if (entriesChanged) {
@@ -93,6 +93,23 @@
 		return targetChanges;
 	}
 
+	private static boolean isOutdated(DirectoryRecord change, DirectoryRecord knownRecord) {
+		return knownRecord != null && knownRecord.position().offset() >= change.position().offset();
+	}
+
+	/**
+	 * Returns the records that would be ignored although they state something else than
+	 * the newer known ones.
+	 * @param changes records that were read from the log
+	 * @return the records to be ignored
+	 */
+	public List<DirectoryRecord> findOutdated(List<DirectoryRecord> changes) {
+		return changes.stream().filter((change) -> {
+			DirectoryRecord knownRecord = this.records.get(change.id());
+			return isOutdated(change, knownRecord) && !state(knownRecord).equals(state(change));
+		}).toList();
+	}
+
 	private static Optional<TargetEntry> entry(DirectoryRecord directoryRecord) {
 		return Optional.ofNullable(directoryRecord).flatMap(DirectoryRecord::entry);
 	}
@@ -119,17 +136,17 @@
 	 * Applies a snapshot of the log. Known targets that the snapshot does not contain
 	 * count as removed.
 	 * @param newestRecords the newest record of each target
-	 * @param endOffset end offset of the log when the snapshot was read
+	 * @param end end of the log when the snapshot was read
 	 * @param nowMillis the current time
 	 * @return the targets whose state has changed
 	 */
-	public List<TargetChange> applySnapshot(List<DirectoryRecord> newestRecords, long endOffset, long nowMillis) {
+	public List<TargetChange> applySnapshot(List<DirectoryRecord> newestRecords, LogPosition end, long nowMillis) {
 		Set<TargetId> listedTargets = new HashSet<>();
 		newestRecords.forEach((listedRecord) -> listedTargets.add(listedRecord.id()));
 		List<DirectoryRecord> changes = new ArrayList<>(newestRecords);
 		for (DirectoryRecord knownRecord : this.records.values()) {
-			if (!listedTargets.contains(knownRecord.id()) && knownRecord.offset() < endOffset - 1) {
-				changes.add(new DirectoryRecord(knownRecord.id(), endOffset - 1, Optional.empty()));
+			if (!listedTargets.contains(knownRecord.id()) && knownRecord.position().offset() < end.offset() - 1) {
+				changes.add(new DirectoryRecord(knownRecord.id(), end.plus(-1), Optional.empty()));
 			}
 		}
 		return apply(changes, nowMillis);
@@ -165,8 +182,8 @@
 		List<TargetId> removedTargets = List.copyOf(this.missingTargets);
 		for (TargetId id : removedTargets) {
 			DirectoryRecord knownRecord = this.records.get(id);
-			long offset = (knownRecord != null) ? knownRecord.offset() : 0;
-			this.records.put(id, new DirectoryRecord(id, offset, Optional.empty()));
+			LogPosition position = (knownRecord != null) ? knownRecord.position() : LogPosition.START;
+			this.records.put(id, new DirectoryRecord(id, position, Optional.empty()));
 		}
 		this.missingTargets.clear();
 		rebuildReadyTargets();
@@ -187,7 +204,7 @@
 		List<DirectoryRecord> removals = this.records.values()
 			.stream()
 			.filter((knownRecord) -> knownRecord.entry().isEmpty())
-			.sorted(Comparator.comparingLong(DirectoryRecord::offset))
+			.sorted(Comparator.comparing(DirectoryRecord::position))
 			.toList();
 		int excessCount = Math.max(0, removals.size() - MAX_REMOVALS);
 		removals.subList(0, excessCount).forEach((knownRecord) -> this.records.remove(knownRecord.id()));
--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -25,12 +25,12 @@
 	private final TargetDirectory directory = new TargetDirectory(GRACE_PERIOD_MILLIS);
 
 	private static DirectoryRecord entryRecord(String id, long offset, TargetState state) {
-		return new DirectoryRecord(new TargetId(id), offset, Optional
+		return new DirectoryRecord(new TargetId(id), new LogPosition(0, offset), Optional
 			.of(new TargetEntry(new TargetId(id), POOL, "127.0.0.1", 80, new DomainId("north"), 4, state, 0)));
 	}
 
 	private static DirectoryRecord removal(String id, long offset) {
-		return new DirectoryRecord(new TargetId(id), offset, Optional.empty());
+		return new DirectoryRecord(new TargetId(id), new LogPosition(0, offset), Optional.empty());
 	}
 
 	private TargetDirectory directoryWith(DirectoryRecord... records) {
@@ -62,14 +62,14 @@
 	public void targetMissingFromTheListingIsRemoved() {
 		TargetDirectory targets = directoryWith(entryRecord("a", 1, TargetState.READY),
 				entryRecord("b", 2, TargetState.READY));
-		targets.applySnapshot(List.of(entryRecord("b", 5, TargetState.READY)), 6, 10);
+		targets.applySnapshot(List.of(entryRecord("b", 5, TargetState.READY)), new LogPosition(0, 6), 10);
 		assertEquals(targets.readyTargets(POOL).stream().map((entry) -> entry.id().value()).toList(), List.of("b"));
 	}
 
 	@Test
 	public void entryWrittenAfterTheListingIsApplied() {
 		TargetDirectory targets = directoryWith(entryRecord("a", 1, TargetState.READY));
-		targets.applySnapshot(List.of(), 6, 10);
+		targets.applySnapshot(List.of(), new LogPosition(0, 6), 10);
 		targets.apply(List.of(entryRecord("a", 6, TargetState.READY)), 11);
 		assertEquals(targets.readyCount(), 1);
 	}
@@ -80,7 +80,7 @@
 		targets.markLogUnavailable();
 		targets.apply(List.of(removal("a", 2)), 100);
 		targets.markLogAvailable(1000);
-		targets.applySnapshot(List.of(), 3, 1000);
+		targets.applySnapshot(List.of(), new LogPosition(0, 3), 1000);
 		assertEquals(targets.removeMissing(1000 + GRACE_PERIOD_MILLIS - 1), List.of());
 		assertEquals(targets.readyCount(), 1);
 		assertEquals(targets.removeMissing(1000 + GRACE_PERIOD_MILLIS), List.of(new TargetId("a")));
@@ -92,7 +92,7 @@
 		TargetDirectory targets = directoryWith(entryRecord("a", 1, TargetState.READY));
 		targets.markLogUnavailable();
 		targets.markLogAvailable(1000);
-		targets.applySnapshot(List.of(), 3, 1000);
+		targets.applySnapshot(List.of(), new LogPosition(0, 3), 1000);
 		targets.apply(List.of(entryRecord("a", 4, TargetState.READY)), 2000);
 		assertEquals(targets.removeMissing(1000 + GRACE_PERIOD_MILLIS), List.of());
 		assertEquals(targets.readyCount(), 1);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RecordBatch.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RecordBatch.java
@@ -2,15 +2,17 @@
 
 import java.util.List;
 
+import org.mustardlane.core.directory.LogPosition;
+
 /**
  * Records that one read of a topic returned.
  *
  * @param records records in the order of the log
- * @param nextOffset offset to continue reading from
+ * @param next position to continue reading from
  * @param offsetExpired whether the log no longer retains the records from the requested
  * offset on
  */
-public record RecordBatch(List<KeyedRecord> records, long nextOffset, boolean offsetExpired) {
+public record RecordBatch(List<KeyedRecord> records, LogPosition next, boolean offsetExpired) {
 
 	/**
 	 * Makes an unmodifiable copy of the records.
@@ -24,7 +26,7 @@
 	 * @return a result without records
 	 */
 	public static RecordBatch forExpiredOffset() {
-		return new RecordBatch(List.of(), 0, true);
+		return new RecordBatch(List.of(), LogPosition.START, true);
 	}
 
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
 
@@ -27,7 +28,7 @@
 	}
 
 	@Override
-	public void onSnapshot(List<KeyedRecord> records, long endOffset) {
+	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
 		onRecords(records);
 	}
 
@@ -40,6 +41,11 @@
 		}
 	}
 
+	@Override
+	public void onRestored(LogPosition before, LogPosition end) {
+		this.log.warn(LogEvent.LOG_RESTORED, "topic", Topic.ROUTERS, "before", before, "end", end);
+	}
+
 	@Override
 	public void onUnavailable(String reason) {
 		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.ROUTERS, "reason", reason);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutesListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutesListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
 
@@ -27,7 +28,7 @@
 	}
 
 	@Override
-	public void onSnapshot(List<KeyedRecord> records, long endOffset) {
+	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
 		onRecords(records);
 	}
 
@@ -36,6 +37,11 @@
 		records.forEach((logRecord) -> this.routingState.applyRoutes(logRecord, SOURCE));
 	}
 
+	@Override
+	public void onRestored(LogPosition before, LogPosition end) {
+		this.log.warn(LogEvent.LOG_RESTORED, "topic", Topic.ROUTES, "before", before, "end", end);
+	}
+
 	@Override
 	public void onUnavailable(String reason) {
 		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.ROUTES, "reason", reason);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.mustardlane.core.directory.DirectoryRecord;
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.directory.TargetChange;
 import org.mustardlane.core.directory.TargetDirectory;
 import org.mustardlane.core.directory.TargetEntry;
@@ -64,7 +64,7 @@
 
 	private boolean logUnavailable;
 
-	private OptionalLong offsetBeforeOutage = OptionalLong.empty();
+	private Optional<LogPosition> positionBeforeOutage = Optional.empty();
 
 	/**
 	 * Creates an empty routing state.
@@ -96,7 +96,8 @@
 			decodedRoutes.ifPresent((table) -> activateRoutes(table, logRecord, source));
 		}
 		catch (MalformedRecordException | RuntimeException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
+					"offset", logRecord.position().offset(), "reason", ex);
 		}
 	}
 
@@ -109,22 +110,25 @@
 		this.routesRecord = Optional.of(logRecord);
 		notifyIfComplete();
 		this.log.write(LogEvent.ROUTES_CHANGED, "version", table.version(), "before", previousVersion, "routes",
-				table.routeCount(), "source", source);
+				table.routeCount(), "source", source, "position", logRecord.position());
 	}
 
 	/**
 	 * Replaces the targets by a snapshot of the topic.
 	 * @param snapshot newest record of each target
-	 * @param endOffset end offset of the topic when the snapshot was read
+	 * @param end end of the topic when the snapshot was read
 	 */
-	public void replaceTargets(List<KeyedRecord> snapshot, long endOffset) {
+	public void replaceTargets(List<KeyedRecord> snapshot, LogPosition end) {
 		this.targetsLoaded = true;
 		Set<String> snapshotKeys = snapshot.stream().map(KeyedRecord::key).collect(Collectors.toSet());
 		this.targetRecords.entrySet()
-			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey()) && entry.getValue().offset() < endOffset);
+			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey())
+					&& entry.getValue().position().offset() < end.offset());
 		storeTargetRecords(snapshot);
 		notifyIfComplete();
-		logChanges(this.targets.applySnapshot(decodeTargets(snapshot), endOffset, this.clock.nowMillis()));
+		List<DirectoryRecord> decodedRecords = decodeTargets(snapshot);
+		logOutdated(decodedRecords);
+		logChanges(this.targets.applySnapshot(decodedRecords, end, this.clock.nowMillis()));
 	}
 
 	/**
@@ -133,13 +137,22 @@
 	 */
 	public void applyTargets(List<KeyedRecord> logRecords) {
 		storeTargetRecords(logRecords);
-		logChanges(this.targets.apply(decodeTargets(logRecords), this.clock.nowMillis()));
+		List<DirectoryRecord> decodedRecords = decodeTargets(logRecords);
+		logOutdated(decodedRecords);
+		logChanges(this.targets.apply(decodedRecords, this.clock.nowMillis()));
+	}
+
+	private void logOutdated(List<DirectoryRecord> logRecords) {
+		for (DirectoryRecord outdated : this.targets.findOutdated(logRecords)) {
+			this.log.write(LogEvent.RECORD_IGNORED, "target", outdated.id(), "position", outdated.position(), "state",
+					stateName(outdated.entry().map(TargetEntry::state)));
+		}
 	}
 
 	private void logChanges(List<TargetChange> targetChanges) {
 		for (TargetChange change : targetChanges) {
 			this.log.write(LogEvent.TARGET_CHANGED, "target", change.id(), "state", stateName(change.after()), "before",
-					stateName(change.before()));
+					stateName(change.before()), "position", change.position());
 		}
 	}
 
@@ -150,13 +163,13 @@
 	private void storeTargetRecords(List<KeyedRecord> logRecords) {
 		for (KeyedRecord logRecord : logRecords) {
 			this.targetRecords.merge(logRecord.key(), logRecord,
-					(stored, added) -> (added.offset() > stored.offset()) ? added : stored);
+					(stored, added) -> (added.position().offset() > stored.position().offset()) ? added : stored);
 		}
 		if (this.targetRecords.size() > MAX_TARGET_RECORDS) {
-			long newestOffset = targetsOffset();
+			LogPosition newest = targetsPosition();
 			this.targetRecords.values()
 				.removeIf((targetRecord) -> targetRecord.body().isEmpty()
-						&& targetRecord.offset() < newestOffset - MAX_TARGET_RECORDS);
+						&& targetRecord.position().offset() < newest.offset() - MAX_TARGET_RECORDS);
 		}
 	}
 
@@ -176,24 +189,28 @@
 	}
 
 	/**
-	 * Returns the records of targets after an offset, to be relayed to a peer. Returns
+	 * Returns the records of targets after a position, to be relayed to a peer. Returns
 	 * none while this router cannot tell whether a missing target was removed.
-	 * @param offset the offset
+	 * @param position the position
 	 * @return records in the order of the log
 	 */
-	public List<KeyedRecord> targetRecordsAfter(long offset) {
+	public List<KeyedRecord> targetRecordsAfter(LogPosition position) {
 		if (!areRemovalsReliable()) {
 			return List.of();
 		}
 		return this.targetRecords.values()
 			.stream()
-			.filter((targetRecord) -> targetRecord.offset() > offset)
-			.sorted(Comparator.comparingLong(KeyedRecord::offset))
+			.filter((targetRecord) -> targetRecord.position().offset() > position.offset())
+			.sorted(Comparator.comparing(KeyedRecord::position))
 			.toList();
 	}
 
-	private long targetsOffset() {
-		return this.targetRecords.values().stream().mapToLong(KeyedRecord::offset).max().orElse(-1);
+	private LogPosition targetsPosition() {
+		return this.targetRecords.values()
+			.stream()
+			.map(KeyedRecord::position)
+			.max(Comparator.naturalOrder())
+			.orElse(LogPosition.START);
 	}
 
 	/**
@@ -201,8 +218,8 @@
 	 * @param unavailable true if the log cannot be read
 	 */
 	public void setLogUnavailable(boolean unavailable) {
-		if (unavailable && this.offsetBeforeOutage.isEmpty()) {
-			this.offsetBeforeOutage = OptionalLong.of(targetsOffset());
+		if (unavailable && this.positionBeforeOutage.isEmpty()) {
+			this.positionBeforeOutage = Optional.of(targetsPosition());
 		}
 		this.logUnavailable = unavailable;
 		if (unavailable) {
@@ -228,21 +245,21 @@
 	}
 
 	/**
-	 * Returns the offset after which peers are to send records of targets. While removals
-	 * are not reliable, this is the newest offset from before the outage of the log,
-	 * because a snapshot read since then does not show which targets were removed in the
-	 * meantime.
-	 * @return the offset, -1 if no target is known
+	 * Returns the position after which peers are to send records of targets. While
+	 * removals are not reliable, this is the newest position from before the outage of
+	 * the log, because a snapshot read since then does not show which targets were
+	 * removed in the meantime.
+	 * @return the position
 	 */
-	public long peerRequestOffset() {
-		return areRemovalsReliable() ? targetsOffset() : this.offsetBeforeOutage.orElse(targetsOffset());
+	public LogPosition peerRequestPosition() {
+		return areRemovalsReliable() ? targetsPosition() : this.positionBeforeOutage.orElse(targetsPosition());
 	}
 
 	private List<DirectoryRecord> decodeTargets(List<KeyedRecord> logRecords) {
 		List<DirectoryRecord> decodedRecords = new ArrayList<>();
 		for (KeyedRecord logRecord : logRecords) {
 			if (!logRecord.key().isEmpty()) {
-				decodedRecords.add(new DirectoryRecord(new TargetId(logRecord.key()), logRecord.offset(),
+				decodedRecords.add(new DirectoryRecord(new TargetId(logRecord.key()), logRecord.position(),
 						decodeTarget(logRecord)));
 			}
 		}
@@ -257,7 +274,8 @@
 			return Optional.of(this.decoder.decodeTarget(logRecord.key(), logRecord.body().get()));
 		}
 		catch (MalformedRecordException | RuntimeException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
+					"offset", logRecord.position().offset(), "reason", ex);
 			return Optional.empty();
 		}
 	}
@@ -267,7 +285,7 @@
 	 */
 	public void expireTargets() {
 		if (areRemovalsReliable()) {
-			this.offsetBeforeOutage = OptionalLong.empty();
+			this.positionBeforeOutage = Optional.empty();
 		}
 		for (TargetId expiredTarget : this.targets.removeMissing(this.clock.nowMillis())) {
 			this.log.write(LogEvent.TARGET_CHANGED, "target", expiredTarget, "state", "NONE", "reason", "missing");
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
 
@@ -26,8 +27,8 @@
 	}
 
 	@Override
-	public void onSnapshot(List<KeyedRecord> records, long endOffset) {
-		this.routingState.replaceTargets(records, endOffset);
+	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
+		this.routingState.replaceTargets(records, end);
 	}
 
 	@Override
@@ -35,6 +36,11 @@
 		this.routingState.applyTargets(records);
 	}
 
+	@Override
+	public void onRestored(LogPosition before, LogPosition end) {
+		this.log.warn(LogEvent.LOG_RESTORED, "topic", Topic.TARGETS, "before", before, "end", end);
+	}
+
 	@Override
 	public void onUnavailable(String reason) {
 		this.routingState.setLogUnavailable(true);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -10,6 +10,8 @@
 
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.directory.LogPosition;
+
 /**
  * Follows one topic: reads a snapshot with the newest record of each key, then the
  * records that follow.
@@ -35,9 +37,11 @@
 
 	private final List<KeyedRecord> snapshot = new ArrayList<>();
 
-	private long snapshotEndOffset;
+	private LogPosition snapshotEnd = LogPosition.START;
+
+	private LogPosition next = LogPosition.START;
 
-	private long nextOffset;
+	private boolean hasRead;
 
 	private int generation;
 
@@ -78,23 +82,24 @@
 	}
 
 	private void addSnapshotPage(SnapshotPage page, boolean firstPage) {
+		noticeRestoration(page.end());
 		if (firstPage) {
-			this.snapshotEndOffset = page.endOffset();
+			this.snapshotEnd = page.end();
 		}
 		this.snapshot.addAll(page.records());
 		if (page.continueAfterKey().isPresent()) {
 			readSnapshotPage(page.continueAfterKey());
 			return;
 		}
-		this.nextOffset = this.snapshotEndOffset;
+		this.next = this.snapshotEnd;
 		markAvailable();
-		this.listener.onSnapshot(List.copyOf(this.snapshot), this.snapshotEndOffset);
+		this.listener.onSnapshot(List.copyOf(this.snapshot), this.snapshotEnd);
 		this.snapshot.clear();
 		readNext();
 	}
 
 	private void readNext() {
-		handleResult(this.recordLog.read(this.topic, this.nextOffset, this.readPolicy.maxWaitMillis()),
+		handleResult(this.recordLog.read(this.topic, this.next.offset(), this.readPolicy.maxWaitMillis()),
 				this::handleBatch);
 	}
 
@@ -103,7 +108,8 @@
 			start();
 			return;
 		}
-		this.nextOffset = Math.max(this.nextOffset, batch.nextOffset());
+		noticeRestoration(batch.next());
+		this.next = new LogPosition(batch.next().epoch(), Math.max(this.next.offset(), batch.next().offset()));
 		markAvailable();
 		if (!batch.records().isEmpty()) {
 			this.listener.onRecords(batch.records());
@@ -111,6 +117,14 @@
 		runLater(this.readPolicy.delayMillis(), this::readNext);
 	}
 
+	private void noticeRestoration(LogPosition end) {
+		if (this.hasRead && end.epoch() != this.next.epoch()) {
+			this.listener.onRestored(this.next, end);
+		}
+		this.hasRead = true;
+		this.next = new LogPosition(end.epoch(), this.next.offset());
+	}
+
 	private void markAvailable() {
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		if (this.unavailable) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/DigestCodec.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/DigestCodec.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.ByteString;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.placement.LoadSample;
 import org.mustardlane.core.placement.LoadTable;
@@ -33,7 +34,8 @@
 	static LogRecord encode(KeyedRecord logRecord) {
 		return LogRecord.newBuilder()
 			.setKey(logRecord.key())
-			.setOffset(logRecord.offset())
+			.setOffset(logRecord.position().offset())
+			.setEpoch(logRecord.position().epoch())
 			.setBody(logRecord.body().map(ByteString::copyFrom).orElse(ByteString.EMPTY))
 			.build();
 	}
@@ -44,7 +46,7 @@
 	 * @return the record
 	 */
 	static KeyedRecord decode(LogRecord message) {
-		return new KeyedRecord(message.getKey(), message.getOffset(),
+		return new KeyedRecord(message.getKey(), new LogPosition(message.getEpoch(), message.getOffset()),
 				message.getBody().isEmpty() ? Optional.empty() : Optional.of(message.getBody().toByteArray()));
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -11,6 +11,7 @@
 import io.grpc.stub.StreamObserver;
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.placement.FleetPosition;
@@ -243,10 +244,12 @@
 	}
 
 	private KnowledgeDigest.Builder createHeader() {
+		LogPosition requested = this.routingState.peerRequestPosition();
 		return KnowledgeDigest.newBuilder()
 			.setSender(this.ownAddress)
 			.setRoutesVersion(this.routingState.routesVersion())
-			.setTargetsOffset(this.routingState.peerRequestOffset())
+			.setTargetsOffset(requested.offset())
+			.setTargetsEpoch(requested.epoch())
 			.setLogLost(this.routingState.needsPeerRecords());
 	}
 
@@ -258,7 +261,7 @@
 			this.routingState.routesRecord().map(DigestCodec::encode).ifPresent(reply::setRoutes);
 		}
 		if (request.getLogLost()) {
-			this.routingState.targetRecordsAfter(request.getTargetsOffset())
+			this.routingState.targetRecordsAfter(new LogPosition(request.getTargetsEpoch(), request.getTargetsOffset()))
 				.forEach((targetRecord) -> reply.addTargets(DigestCodec.encode(targetRecord)));
 		}
 		responseObserver.onNext(reply.build());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.RendezvousHash;
 import org.mustardlane.core.quarantine.Quarantine;
@@ -125,7 +126,7 @@
 	}
 
 	@Override
-	public void onSnapshot(List<KeyedRecord> records, long endOffset) {
+	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
 		onRecords(records);
 	}
 
@@ -142,10 +143,16 @@
 			this.quarantine.add(decode(QuarantineRecord.parseFrom(body)), "log");
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "offset", logRecord.offset(), "reason", ex);
+			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
+					"offset", logRecord.position().offset(), "reason", ex);
 		}
 	}
 
+	@Override
+	public void onRestored(LogPosition before, LogPosition end) {
+		this.log.warn(LogEvent.LOG_RESTORED, "topic", Topic.QUARANTINES, "before", before, "end", end);
+	}
+
 	@Override
 	public void onUnavailable(String reason) {
 		this.log.warn(LogEvent.DEPENDENCY_LOST, "dependency", "log", "topic", Topic.QUARANTINES, "reason", reason);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -67,6 +67,16 @@
 	 */
 	TARGET_LIMIT_CHANGED("target-limit-changed"),
 
+	/**
+	 * The platform's log was restored from an older copy.
+	 */
+	LOG_RESTORED("log-restored"),
+
+	/**
+	 * A record of a target was ignored because a newer one is known.
+	 */
+	RECORD_IGNORED("record-ignored"),
+
 	/**
 	 * The process was paused.
 	 */
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.PoolId;
@@ -95,8 +96,9 @@
 
 	private void loadRoutes() throws InterruptedException, ExecutionException {
 		onLoop(() -> {
-			this.routingState.applyRoutes(new KeyedRecord("routes", 1, Optional.of(new byte[0])), "log");
-			this.routingState.replaceTargets(List.of(), 1);
+			this.routingState.applyRoutes(new KeyedRecord("routes", LogPosition.START, Optional.of(new byte[0])),
+					"log");
+			this.routingState.replaceTargets(List.of(), LogPosition.START);
 			return true;
 		});
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.directory.TargetState;
 import org.mustardlane.core.model.common.DomainId;
@@ -43,7 +44,7 @@
 		this.peerState = createState();
 		for (RoutingState state : List.of(this.ownState, this.peerState)) {
 			state.applyRoutes(liveRecord("routes", 0), "log");
-			state.replaceTargets(List.of(liveRecord("t-1", 10), liveRecord("t-2", 11)), 12);
+			state.replaceTargets(List.of(liveRecord("t-1", 10), liveRecord("t-2", 11)), new LogPosition(0, 12));
 		}
 	}
 
@@ -55,11 +56,11 @@
 	}
 
 	private static KeyedRecord liveRecord(String key, long offset) {
-		return new KeyedRecord(key, offset, Optional.of(new byte[0]));
+		return new KeyedRecord(key, new LogPosition(0, offset), Optional.of(new byte[0]));
 	}
 
 	private static KeyedRecord removalRecord(String key, long offset) {
-		return new KeyedRecord(key, offset, Optional.empty());
+		return new KeyedRecord(key, new LogPosition(0, offset), Optional.empty());
 	}
 
 	private List<String> readyTargets(RoutingState state) {
@@ -71,10 +72,10 @@
 		this.ownState.setLogUnavailable(true);
 		this.peerState.applyTargets(List.of(removalRecord("t-1", 20), liveRecord("t-2", 30)));
 		this.ownState.setLogUnavailable(false);
-		this.ownState.replaceTargets(List.of(liveRecord("t-2", 30)), 31);
+		this.ownState.replaceTargets(List.of(liveRecord("t-2", 30)), new LogPosition(0, 31));
 		assertEquals(readyTargets(this.ownState), List.of("t-1", "t-2"));
 		assertTrue(this.ownState.needsPeerRecords());
-		this.ownState.applyRelayedTargets(this.peerState.targetRecordsAfter(this.ownState.peerRequestOffset()));
+		this.ownState.applyRelayedTargets(this.peerState.targetRecordsAfter(this.ownState.peerRequestPosition()));
 		assertEquals(readyTargets(this.ownState), List.of("t-2"));
 	}
 
@@ -82,7 +83,7 @@
 	public void missingTargetIsRemovedAfterTheGracePeriodWithoutPeers() {
 		this.ownState.setLogUnavailable(true);
 		this.ownState.setLogUnavailable(false);
-		this.ownState.replaceTargets(List.of(liveRecord("t-2", 30)), 31);
+		this.ownState.replaceTargets(List.of(liveRecord("t-2", 30)), new LogPosition(0, 31));
 		this.nowMillis.set(2499);
 		this.ownState.expireTargets();
 		assertEquals(readyTargets(this.ownState), List.of("t-1", "t-2"));
@@ -96,13 +97,13 @@
 	public void peerWithUnreliableRemovalsRelaysNoRecords() {
 		this.peerState.setLogUnavailable(true);
 		this.peerState.setLogUnavailable(false);
-		assertEquals(this.peerState.targetRecordsAfter(0), List.of());
+		assertEquals(this.peerState.targetRecordsAfter(new LogPosition(0, 0)), List.of());
 	}
 
 	@Test
 	public void routerWithAnAvailableLogRequestsOnlyNewRecords() {
 		assertFalse(this.ownState.needsPeerRecords());
-		assertEquals(this.ownState.peerRequestOffset(), 11L);
+		assertEquals(this.ownState.peerRequestPosition(), new LogPosition(0, 11));
 	}
 
 	private static final class AcceptAllDecoder implements RecordDecoder {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.gateway.standin.FakeRecordLog;
 
 import static org.awaitility.Awaitility.await;
@@ -131,10 +132,12 @@
 
 		private final AtomicInteger outageCount = new AtomicInteger();
 
+		private final AtomicInteger restorationCount = new AtomicInteger();
+
 		private final AtomicInteger recoveryCount = new AtomicInteger();
 
 		@Override
-		public void onSnapshot(List<KeyedRecord> records, long endOffset) {
+		public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
 			this.snapshotCount.incrementAndGet();
 			onRecords(records);
 		}
@@ -148,6 +151,11 @@
 				.ifPresent((body) -> this.values.put(logRecord.key(), new String(body, StandardCharsets.UTF_8))));
 		}
 
+		@Override
+		public void onRestored(LogPosition before, LogPosition end) {
+			this.restorationCount.incrementAndGet();
+		}
+
 		@Override
 		public void onUnavailable(String reason) {
 			this.outageCount.incrementAndGet();
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
@@ -77,7 +78,7 @@
 		this.recordLog.setUnavailable(false);
 		await().until(() -> !storedRecords().isEmpty());
 		setUpReader();
-		this.records.onSnapshot(storedRecords(), 1);
+		this.records.onSnapshot(storedRecords(), new LogPosition(0, 1));
 		assertEquals(this.quarantine.active(), List.of(QUARANTINE));
 	}
 
@@ -91,7 +92,7 @@
 	public void endedQuarantineIsNotTakenOver() {
 		byte[] body = QuarantineRecords.encode(QUARANTINE).toByteArray();
 		this.nowMillis.set(END_UNIX_MILLIS);
-		this.records.onRecords(List.of(new KeyedRecord("key", 1, Optional.of(body))));
+		this.records.onRecords(List.of(new KeyedRecord("key", new LogPosition(0, 1), Optional.of(body))));
 		assertEquals(this.quarantine.active(), List.of());
 	}
 
@@ -102,10 +103,11 @@
 		for (int round = 0; round < 2000; round++) {
 			byte[] mutated = body.clone();
 			mutated[random.nextInt(mutated.length)] = (byte) random.nextInt();
-			this.records.onRecords(List.of(new KeyedRecord("key", round, Optional.of(mutated))));
+			this.records.onRecords(List.of(new KeyedRecord("key", new LogPosition(0, round), Optional.of(mutated))));
 		}
-		this.records.onRecords(List.of(new KeyedRecord("empty", 1, Optional.of(new byte[0])),
-				new KeyedRecord("removed", 2, Optional.empty()), new KeyedRecord("key", 3, Optional.of(body))));
+		this.records.onRecords(List.of(new KeyedRecord("empty", new LogPosition(0, 1), Optional.of(new byte[0])),
+				new KeyedRecord("removed", new LogPosition(0, 2), Optional.empty()),
+				new KeyedRecord("key", new LogPosition(0, 3), Optional.of(body))));
 		assertTrue(this.quarantine.remainingMillis(List.copyOf(QUARANTINE.parts())).isPresent());
 	}
 
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 
+import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.RecordBatch;
 import org.mustardlane.gateway.knowledge.RecordLog;
@@ -28,6 +29,8 @@
 
 	private final Map<Topic, Long> firstRetainedOffsets = new LinkedHashMap<>();
 
+	private long epoch;
+
 	private boolean unavailable;
 
 	private int pageSize = 500;
@@ -40,7 +43,7 @@
 	 */
 	public synchronized void write(Topic topic, String key, Optional<byte[]> body) {
 		List<KeyedRecord> topicRecords = topicRecords(topic);
-		topicRecords.add(new KeyedRecord(key, topicRecords.size(), body));
+		topicRecords.add(new KeyedRecord(key, new LogPosition(this.epoch, topicRecords.size()), body));
 	}
 
 	/**
@@ -67,10 +70,30 @@
 		this.pageSize = recordsPerPage;
 	}
 
+	/**
+	 * Restores a topic from a copy that holds its first records only. The epoch of the
+	 * log rises, and the offsets after the copy are assigned again.
+	 * @param topic the topic
+	 * @param recordCount number of records in the copy
+	 */
+	public synchronized void restore(Topic topic, int recordCount) {
+		this.epoch++;
+		List<KeyedRecord> copy = topicRecords(topic).subList(0, recordCount)
+			.stream()
+			.map((logRecord) -> new KeyedRecord(logRecord.key(),
+					new LogPosition(this.epoch, logRecord.position().offset()), logRecord.body()))
+			.toList();
+		this.topics.put(topic, new ArrayList<>(copy));
+	}
+
 	private List<KeyedRecord> topicRecords(Topic topic) {
 		return this.topics.computeIfAbsent(topic, (newTopic) -> new ArrayList<>());
 	}
 
+	private LogPosition endOf(Topic topic) {
+		return new LogPosition(this.epoch, topicRecords(topic).size());
+	}
+
 	@Override
 	public synchronized CompletionStage<SnapshotPage> readSnapshot(Topic topic, Optional<String> after) {
 		if (this.unavailable) {
@@ -87,7 +110,7 @@
 		List<KeyedRecord> page = sorted.subList(0, Math.min(this.pageSize, sorted.size()));
 		Optional<String> continueAfterKey = (page.size() < sorted.size()) ? Optional.of(page.get(page.size() - 1).key())
 				: Optional.empty();
-		return CompletableFuture.completedStage(new SnapshotPage(page, topicRecords(topic).size(), continueAfterKey));
+		return CompletableFuture.completedStage(new SnapshotPage(page, endOf(topic), continueAfterKey));
 	}
 
 	@Override
@@ -95,12 +118,11 @@
 		if (this.unavailable) {
 			return CompletableFuture.failedStage(new RecordLogException("the log is unavailable"));
 		}
-		if (fromOffset < this.firstRetainedOffsets.getOrDefault(topic, 0L)) {
+		if (fromOffset < this.firstRetainedOffsets.getOrDefault(topic, 0L) || fromOffset > topicRecords(topic).size()) {
 			return CompletableFuture.completedStage(RecordBatch.forExpiredOffset());
 		}
 		List<KeyedRecord> topicRecords = topicRecords(topic);
-		int fromIndex = (int) Math.min(fromOffset, topicRecords.size());
-		RecordBatch batch = new RecordBatch(topicRecords.subList(fromIndex, topicRecords.size()), topicRecords.size(),
+		RecordBatch batch = new RecordBatch(topicRecords.subList((int) fromOffset, topicRecords.size()), endOf(topic),
 				false);
 		if (batch.records().isEmpty() && waitMillis > 0) {
 			// A long poll of an idle topic returns without records after a short time.
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
@@ -75,7 +75,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\017knowledge.proto\022\013mustardlane\"\333\003\n\017Knowl" +
+      "\n\017knowledge.proto\022\013mustardlane\"\362\003\n\017Knowl" +
       "edgeDigest\022*\n\006sender\030\001 \001(\0132\032.mustardlane" +
       ".RouterAddress\022\026\n\016routes_version\030\002 \001(\003\022\026" +
       "\n\016targets_offset\030\003 \001(\003\022\020\n\010log_lost\030\004 \001(\010" +
@@ -87,24 +87,25 @@
       "mustardlane.StartedResponseReport\0222\n\013qua" +
       "rantines\030\n \003(\0132\035.mustardlane.QuarantineR" +
       "ecord\022*\n\006limits\030\013 \003(\0132\032.mustardlane.Repo" +
-      "rtedLimit\022\021\n\tnews_only\030\014 \001(\010\"[\n\rReported" +
-      "Limit\022\016\n\006target\030\001 \001(\t\022\027\n\nper_second\030\002 \001(" +
-      "\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\rB\r\n\013_per_secon" +
-      "d\"W\n\016LostCallReport\022\016\n\006target\030\001 \001(\t\022\022\n\nr" +
-      "equest_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\022\n\nage_mi" +
-      "llis\030\004 \001(\r\"J\n\025StartedResponseReport\022\016\n\006t" +
-      "arget\030\001 \001(\t\022\r\n\005parts\030\002 \003(\t\022\022\n\nage_millis" +
-      "\030\003 \001(\r\":\n\020QuarantineRecord\022\r\n\005parts\030\001 \003(" +
-      "\t\022\027\n\017end_unix_millis\030\002 \001(\003\"7\n\rRouterAddr" +
-      "ess\022\n\n\002vm\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\014\n\004port\030\003 " +
-      "\001(\r\"6\n\tLogRecord\022\013\n\003key\030\001 \001(\t\022\016\n\006offset\030" +
-      "\002 \001(\003\022\014\n\004body\030\003 \001(\014\"{\n\nStatedLoad\022\016\n\006tar" +
-      "get\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 " +
-      "\001(\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005" +
-      " \001(\r\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeSer" +
-      "vice\022F\n\010Exchange\022\034.mustardlane.Knowledge" +
-      "Digest\032\034.mustardlane.KnowledgeDigestB\034\n\030" +
-      "org.mustardlane.protocolP\001b\006proto3"
+      "rtedLimit\022\021\n\tnews_only\030\014 \001(\010\022\025\n\rtargets_" +
+      "epoch\030\r \001(\003\"[\n\rReportedLimit\022\016\n\006target\030\001" +
+      " \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_mil" +
+      "lis\030\003 \001(\rB\r\n\013_per_second\"W\n\016LostCallRepo" +
+      "rt\022\016\n\006target\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r" +
+      "\n\005parts\030\003 \003(\t\022\022\n\nage_millis\030\004 \001(\r\"J\n\025Sta" +
+      "rtedResponseReport\022\016\n\006target\030\001 \001(\t\022\r\n\005pa" +
+      "rts\030\002 \003(\t\022\022\n\nage_millis\030\003 \001(\r\":\n\020Quarant" +
+      "ineRecord\022\r\n\005parts\030\001 \003(\t\022\027\n\017end_unix_mil" +
+      "lis\030\002 \001(\003\"7\n\rRouterAddress\022\n\n\002vm\030\001 \001(\t\022\014" +
+      "\n\004host\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"E\n\tLogRecord\022" +
+      "\013\n\003key\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\014\n\004body\030\003 \001" +
+      "(\014\022\r\n\005epoch\030\004 \001(\003\"{\n\nStatedLoad\022\016\n\006targe" +
+      "t\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(" +
+      "\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005 \001" +
+      "(\r\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeServi" +
+      "ce\022F\n\010Exchange\022\034.mustardlane.KnowledgeDi" +
+      "gest\032\034.mustardlane.KnowledgeDigestB\034\n\030or" +
+      "g.mustardlane.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -115,7 +116,7 @@
     internal_static_mustardlane_KnowledgeDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_KnowledgeDigest_descriptor,
-        new java.lang.String[] { "Sender", "RoutesVersion", "TargetsOffset", "LogLost", "Routes", "Targets", "Loads", "LostCalls", "StartedResponses", "Quarantines", "Limits", "NewsOnly", });
+        new java.lang.String[] { "Sender", "RoutesVersion", "TargetsOffset", "LogLost", "Routes", "Targets", "Loads", "LostCalls", "StartedResponses", "Quarantines", "Limits", "NewsOnly", "TargetsEpoch", });
     internal_static_mustardlane_ReportedLimit_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_mustardlane_ReportedLimit_fieldAccessorTable = new
@@ -151,7 +152,7 @@
     internal_static_mustardlane_LogRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_LogRecord_descriptor,
-        new java.lang.String[] { "Key", "Offset", "Body", });
+        new java.lang.String[] { "Key", "Offset", "Body", "Epoch", });
     internal_static_mustardlane_StatedLoad_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_mustardlane_StatedLoad_fieldAccessorTable = new
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigest.java
@@ -100,7 +100,7 @@
   private long targetsOffset_ = 0L;
   /**
    * <pre>
-   * Highest log offset of a target record that the sender has applied; -1 for none.
+   * Offset in the log after which the sender lacks records of targets; -1 for none.
    * </pre>
    *
    * <code>int64 targets_offset = 3;</code>
@@ -545,6 +545,21 @@
     return newsOnly_;
   }
 
+  public static final int TARGETS_EPOCH_FIELD_NUMBER = 13;
+  private long targetsEpoch_ = 0L;
+  /**
+   * <pre>
+   * Epoch of the log that targets_offset belongs to.
+   * </pre>
+   *
+   * <code>int64 targets_epoch = 13;</code>
+   * @return The targetsEpoch.
+   */
+  @java.lang.Override
+  public long getTargetsEpoch() {
+    return targetsEpoch_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -595,6 +610,9 @@
     if (newsOnly_ != false) {
       output.writeBool(12, newsOnly_);
     }
+    if (targetsEpoch_ != 0L) {
+      output.writeInt64(13, targetsEpoch_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -677,6 +695,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, newsOnly_);
     }
+    if (targetsEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, targetsEpoch_);
+    }
     return size;
   }
   @java.lang.Override
@@ -731,6 +753,8 @@
         .equals(other.getLimitsList())) return false;
     if (getNewsOnly()
         != other.getNewsOnly()) return false;
+    if (getTargetsEpoch()
+        != other.getTargetsEpoch()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -786,6 +810,9 @@
     hash = (37 * hash) + NEWS_ONLY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getNewsOnly());
+    hash = (37 * hash) + TARGETS_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTargetsEpoch());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -986,6 +1013,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000400);
       newsOnly_ = false;
+      targetsEpoch_ = 0L;
       return this;
     }
 
@@ -1102,6 +1130,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.newsOnly_ = newsOnly_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.targetsEpoch_ = targetsEpoch_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1291,6 +1322,9 @@
       if (other.getNewsOnly() != false) {
         setNewsOnly(other.getNewsOnly());
       }
+      if (other.getTargetsEpoch() != 0L) {
+        setTargetsEpoch(other.getTargetsEpoch());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1427,6 +1461,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              targetsEpoch_ = input.readInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1610,7 +1649,7 @@
     private long targetsOffset_ ;
     /**
      * <pre>
-     * Highest log offset of a target record that the sender has applied; -1 for none.
+     * Offset in the log after which the sender lacks records of targets; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -1622,7 +1661,7 @@
     }
     /**
      * <pre>
-     * Highest log offset of a target record that the sender has applied; -1 for none.
+     * Offset in the log after which the sender lacks records of targets; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -1638,7 +1677,7 @@
     }
     /**
      * <pre>
-     * Highest log offset of a target record that the sender has applied; -1 for none.
+     * Offset in the log after which the sender lacks records of targets; -1 for none.
      * </pre>
      *
      * <code>int64 targets_offset = 3;</code>
@@ -3730,6 +3769,50 @@
       return this;
     }
 
+    private long targetsEpoch_ ;
+    /**
+     * <pre>
+     * Epoch of the log that targets_offset belongs to.
+     * </pre>
+     *
+     * <code>int64 targets_epoch = 13;</code>
+     * @return The targetsEpoch.
+     */
+    @java.lang.Override
+    public long getTargetsEpoch() {
+      return targetsEpoch_;
+    }
+    /**
+     * <pre>
+     * Epoch of the log that targets_offset belongs to.
+     * </pre>
+     *
+     * <code>int64 targets_epoch = 13;</code>
+     * @param value The targetsEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetsEpoch(long value) {
+
+      targetsEpoch_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Epoch of the log that targets_offset belongs to.
+     * </pre>
+     *
+     * <code>int64 targets_epoch = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTargetsEpoch() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      targetsEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.KnowledgeDigest)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/KnowledgeDigestOrBuilder.java
@@ -37,7 +37,7 @@
 
   /**
    * <pre>
-   * Highest log offset of a target record that the sender has applied; -1 for none.
+   * Offset in the log after which the sender lacks records of targets; -1 for none.
    * </pre>
    *
    * <code>int64 targets_offset = 3;</code>
@@ -355,4 +355,14 @@
    * @return The newsOnly.
    */
   boolean getNewsOnly();
+
+  /**
+   * <pre>
+   * Epoch of the log that targets_offset belongs to.
+   * </pre>
+   *
+   * <code>int64 targets_epoch = 13;</code>
+   * @return The targetsEpoch.
+   */
+  long getTargetsEpoch();
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecord.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecord.java
@@ -115,6 +115,21 @@
     return body_;
   }
 
+  public static final int EPOCH_FIELD_NUMBER = 4;
+  private long epoch_ = 0L;
+  /**
+   * <pre>
+   * Epoch of the log that the offset belongs to.
+   * </pre>
+   *
+   * <code>int64 epoch = 4;</code>
+   * @return The epoch.
+   */
+  @java.lang.Override
+  public long getEpoch() {
+    return epoch_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (!body_.isEmpty()) {
       output.writeBytes(3, body_);
     }
+    if (epoch_ != 0L) {
+      output.writeInt64(4, epoch_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -153,6 +171,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(3, body_);
     }
+    if (epoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, epoch_);
+    }
     return size;
   }
   @java.lang.Override
@@ -183,6 +205,8 @@
         != other.getOffset()) return false;
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (getEpoch()
+        != other.getEpoch()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -201,6 +225,9 @@
         getOffset());
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEpoch());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -335,6 +362,7 @@
       key_ = "";
       offset_ = 0L;
       body_ = com.google.protobuf.ByteString.EMPTY;
+      epoch_ = 0L;
       return this;
     }
 
@@ -377,6 +405,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.epoch_ = epoch_;
+      }
     }
 
     @java.lang.Override
@@ -402,6 +433,9 @@
       if (!other.getBody().isEmpty()) {
         setBody(other.getBody());
       }
+      if (other.getEpoch() != 0L) {
+        setEpoch(other.getEpoch());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -441,6 +475,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              epoch_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -606,6 +645,50 @@
       return this;
     }
 
+    private long epoch_ ;
+    /**
+     * <pre>
+     * Epoch of the log that the offset belongs to.
+     * </pre>
+     *
+     * <code>int64 epoch = 4;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+    /**
+     * <pre>
+     * Epoch of the log that the offset belongs to.
+     * </pre>
+     *
+     * <code>int64 epoch = 4;</code>
+     * @param value The epoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEpoch(long value) {
+
+      epoch_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Epoch of the log that the offset belongs to.
+     * </pre>
+     *
+     * <code>int64 epoch = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      epoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.LogRecord)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecordOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LogRecordOrBuilder.java
@@ -37,4 +37,14 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <pre>
+   * Epoch of the log that the offset belongs to.
+   * </pre>
+   *
+   * <code>int64 epoch = 4;</code>
+   * @return The epoch.
+   */
+  long getEpoch();
 }
