--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -98,6 +98,18 @@
 		assertEquals(targets.readyCount(), 1);
 	}
 
+	@Test
+	public void targetThatStartsToDrainAfterARestorationOfTheLogIsNotReady() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY));
+		targets.applySnapshot(List.of(restored(entryRecord("a", 3, TargetState.READY))), new LogPosition(1, 4), 10);
+		targets.apply(List.of(restored(entryRecord("a", 4, TargetState.DRAINING))), 20);
+		assertEquals(targets.readyCount(), 0);
+	}
+
+	private static DirectoryRecord restored(DirectoryRecord record) {
+		return new DirectoryRecord(record.id(), new LogPosition(1, record.position().offset()), record.entry());
+	}
+
 	@Test
 	public void oldestRemovalsAreDiscarded() {
 		TargetDirectory targets = new TargetDirectory(GRACE_PERIOD_MILLIS);
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
@@ -93,6 +93,18 @@
 		assertFalse(this.ownState.needsPeerRecords());
 	}
 
+	@Test
+	public void targetRemovedAfterARestorationOfTheLogIsRemovedByRecordsOfAPeer() {
+		this.ownState.setLogUnavailable(true);
+		this.peerState.replaceTargets(
+				List.of(new KeyedRecord("t-1", new LogPosition(1, 2), Optional.of(new byte[0])),
+						new KeyedRecord("t-2", new LogPosition(1, 3), Optional.of(new byte[0]))),
+				new LogPosition(1, 4));
+		this.peerState.applyTargets(List.of(new KeyedRecord("t-1", new LogPosition(1, 4), Optional.empty())));
+		this.ownState.applyRelayedTargets(this.peerState.targetRecordsAfter(this.ownState.peerRequestPosition()));
+		assertEquals(readyTargets(this.ownState), List.of("t-2"));
+	}
+
 	@Test
 	public void peerWithUnreliableRemovalsRelaysNoRecords() {
 		this.peerState.setLogUnavailable(true);
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -110,6 +110,21 @@
 		assertEquals(this.listener.outageCount.get(), 0);
 	}
 
+	@Test
+	public void recordAtAnOffsetThatIsAssignedAgainIsNotSkipped() {
+		write("key", "one");
+		write("key", "two");
+		start();
+		awaitValue("key", "two");
+		synchronized (this.recordLog) {
+			this.recordLog.restore(Topic.TARGETS, 1);
+			write("other", "three");
+			write("key", "four");
+		}
+		awaitValue("key", "four");
+		awaitValue("other", "three");
+	}
+
 	@Test
 	public void unexpectedExceptionDoesNotEndTheReads() {
 		write("key", "one");
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
@@ -82,6 +82,22 @@
 		assertEquals(this.quarantine.active(), List.of(QUARANTINE));
 	}
 
+	@Test
+	public void storedQuarantineThatARestorationOfTheLogLosesIsStoredAgain() {
+		this.loop.execute(() -> {
+			this.quarantine.add(QUARANTINE, "test");
+			this.records.onDecision(QUARANTINE);
+		});
+		await().until(() -> !storedRecords().isEmpty());
+		this.loop.execute(() -> this.records.onSnapshot(storedRecords(), new LogPosition(0, 1)));
+		this.recordLog.restore(Topic.QUARANTINES, 0);
+		this.loop.execute(() -> {
+			this.records.onRestored(new LogPosition(0, 1), new LogPosition(1, 0));
+			this.records.onSnapshot(List.of(), new LogPosition(1, 0));
+		});
+		await().until(() -> !storedRecords().isEmpty());
+	}
+
 	private void setUpReader() {
 		DecisionLog log = new DecisionLog(new LogRateLimiter(100, this.nowMillis::get), this.nowMillis::get);
 		this.quarantine = new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log);
