Compare positions of the log by its epoch, and start anew when it was restored

Callers saw calls go to a target that had begun to drain six seconds before: nine of 15 routers had read on at offset 13 of a log that had come back from an older copy, in which the record of the draining target stood at offset 11. The log's offsets were taken for a clock that only moves forward, and acknowledged writes for stored for good.

A position is now an epoch and an offset. Records are compared by position, also between routers. Entries that the copy states again are held back if the target has published a newer one before, or was removed, until it renews its entry or eight seconds have passed, in which the log removes entries that nobody renews. A target whose entry is lost has the same grace period as after an outage.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.mustardlane.core.model.common.PoolId;
@@ -19,7 +20,14 @@
  * A record is ignored if a newer one of the same target is known. While the log is
  * unavailable, and for a grace period afterwards, a missing entry does not prove that its
  * target is gone. Targets with missing entries are then kept until removals can be
- * trusted again, see {@link #canTrustRemovals(long)}. Not thread-safe.
+ * trusted again, see {@link #canTrustRemovals(long)}.
+ *
+ * <p>
+ * A log that was restored from an older copy first states entries from before changes
+ * that are already known: a draining target counts as ready there, a removed one as
+ * present. Such an entry is held back until the target publishes a newer one, the log
+ * removes it, or so much time has passed that the log would have removed it if its target
+ * were gone. Not thread-safe.
  */
 public final class TargetDirectory {
 
@@ -29,14 +37,28 @@
 	 */
 	private static final int MAX_REMOVALS = 1000;
 
+	/**
+	 * Time after a restoration of the log by which it has removed the entries of targets
+	 * that no longer renew them: three of their heartbeats and some reserve.
+	 */
+	private static final int COPIED_ENTRY_EXPIRY_MILLIS = 8000;
+
 	private final int gracePeriodMillis;
 
 	private final Map<TargetId, DirectoryRecord> records = new HashMap<>();
 
+	private final Map<TargetId, TargetEntry> lastEntries = new HashMap<>();
+
+	private final Map<TargetId, DirectoryRecord> heldRecords = new HashMap<>();
+
 	private final Set<TargetId> missingTargets = new HashSet<>();
 
 	private Map<PoolId, List<TargetEntry>> readyByPool = Map.of();
 
+	private OptionalLong epoch = OptionalLong.empty();
+
+	private long copiedEntriesExpiredMillis;
+
 	private long gracePeriodEndMillis;
 
 	private boolean logUnavailable;
@@ -57,6 +79,7 @@
 	 * @return the targets whose state has changed
 	 */
 	public List<TargetChange> apply(List<DirectoryRecord> changes, long nowMillis) {
+		changes.forEach((change) -> noticeEpoch(change.position(), nowMillis));
 		return applyRecords(changes, canTrustRemovals(nowMillis));
 	}
 
@@ -64,20 +87,35 @@
 	 * Applies records relayed by a router that can read the log. Their removals are
 	 * trusted even if this router cannot read the log.
 	 * @param changes the records
+	 * @param nowMillis the current time
 	 * @return the targets whose state has changed
 	 */
-	public List<TargetChange> applyRelayed(List<DirectoryRecord> changes) {
+	public List<TargetChange> applyRelayed(List<DirectoryRecord> changes, long nowMillis) {
+		changes.forEach((change) -> noticeEpoch(change.position(), nowMillis));
 		return applyRecords(changes, true);
 	}
 
+	private void noticeEpoch(LogPosition position, long nowMillis) {
+		boolean isRestored = this.epoch.isPresent() && position.epoch() > this.epoch.getAsLong();
+		if (isRestored) {
+			this.gracePeriodEndMillis = nowMillis + this.gracePeriodMillis;
+			this.copiedEntriesExpiredMillis = nowMillis + COPIED_ENTRY_EXPIRY_MILLIS;
+		}
+		if (isRestored || this.epoch.isEmpty()) {
+			this.epoch = OptionalLong.of(position.epoch());
+		}
+	}
+
 	private List<TargetChange> applyRecords(List<DirectoryRecord> changes, boolean trustRemovals) {
 		List<TargetChange> targetChanges = new ArrayList<>();
 		boolean entriesChanged = false;
 		for (DirectoryRecord change : changes) {
 			DirectoryRecord knownRecord = this.records.get(change.id());
 			if (isOutdated(change, knownRecord)) {
+				hold(change, knownRecord);
 				continue;
 			}
+			this.heldRecords.remove(change.id());
 			Optional<TargetState> before = state(knownRecord);
 			Optional<TargetEntry> entryBefore = entry(knownRecord);
 			store(change, trustRemovals);
@@ -93,8 +131,26 @@
 		return targetChanges;
 	}
 
-	private static boolean isOutdated(DirectoryRecord change, DirectoryRecord knownRecord) {
-		return knownRecord != null && knownRecord.position().offset() >= change.position().offset();
+	private boolean isOutdated(DirectoryRecord change, DirectoryRecord knownRecord) {
+		return knownRecord != null
+				&& (!change.position().isAfter(knownRecord.position()) || isOlderCopy(change, knownRecord));
+	}
+
+	private boolean isOlderCopy(DirectoryRecord change, DirectoryRecord knownRecord) {
+		TargetEntry lastEntry = this.lastEntries.get(change.id());
+		if (lastEntry == null || change.entry().isEmpty()
+				|| change.position().epoch() == knownRecord.position().epoch()) {
+			return false;
+		}
+		boolean isRemoved = knownRecord.entry().isEmpty();
+		return isRemoved ? !change.entry().get().isNewerThan(lastEntry) : lastEntry.isNewerThan(change.entry().get());
+	}
+
+	private void hold(DirectoryRecord change, DirectoryRecord knownRecord) {
+		if (change.position().isAfter(knownRecord.position())) {
+			this.heldRecords.put(change.id(), change);
+			this.missingTargets.remove(change.id());
+		}
 	}
 
 	/**
@@ -119,11 +175,8 @@
 	}
 
 	private void store(DirectoryRecord change, boolean trustRemovals) {
-		if (change.entry().isPresent()) {
-			this.missingTargets.remove(change.id());
-			this.records.put(change.id(), change);
-		}
-		else if (trustRemovals) {
+		change.entry().ifPresent((entry) -> this.lastEntries.put(change.id(), entry));
+		if (change.entry().isPresent() || trustRemovals) {
 			this.missingTargets.remove(change.id());
 			this.records.put(change.id(), change);
 		}
@@ -143,9 +196,10 @@
 	public List<TargetChange> applySnapshot(List<DirectoryRecord> newestRecords, LogPosition end, long nowMillis) {
 		Set<TargetId> listedTargets = new HashSet<>();
 		newestRecords.forEach((listedRecord) -> listedTargets.add(listedRecord.id()));
+		noticeEpoch(end, nowMillis);
 		List<DirectoryRecord> changes = new ArrayList<>(newestRecords);
 		for (DirectoryRecord knownRecord : this.records.values()) {
-			if (!listedTargets.contains(knownRecord.id()) && knownRecord.position().offset() < end.offset() - 1) {
+			if (!listedTargets.contains(knownRecord.id()) && end.plus(-1).isAfter(knownRecord.position())) {
 				changes.add(new DirectoryRecord(knownRecord.id(), end.plus(-1), Optional.empty()));
 			}
 		}
@@ -190,6 +244,22 @@
 		return removedTargets;
 	}
 
+	/**
+	 * Applies the entries that were held back after a restoration of the log, once they
+	 * would have been removed if their targets were gone.
+	 * @param nowMillis the current time
+	 * @return the targets whose state has changed
+	 */
+	public List<TargetChange> applyHeld(long nowMillis) {
+		if (this.heldRecords.isEmpty() || nowMillis < this.copiedEntriesExpiredMillis) {
+			return List.of();
+		}
+		List<DirectoryRecord> held = List.copyOf(this.heldRecords.values());
+		this.heldRecords.clear();
+		held.forEach((heldRecord) -> this.lastEntries.remove(heldRecord.id()));
+		return applyRecords(held, true);
+	}
+
 	/**
 	 * Returns whether removals can be trusted, so that a missing entry proves that its
 	 * target is gone.
@@ -207,7 +277,10 @@
 			.sorted(Comparator.comparing(DirectoryRecord::position))
 			.toList();
 		int excessCount = Math.max(0, removals.size() - MAX_REMOVALS);
-		removals.subList(0, excessCount).forEach((knownRecord) -> this.records.remove(knownRecord.id()));
+		removals.subList(0, excessCount).forEach((knownRecord) -> {
+			this.records.remove(knownRecord.id());
+			this.lastEntries.remove(knownRecord.id());
+		});
 	}
 
 	private void rebuildReadyTargets() {
--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
@@ -16,9 +16,11 @@
  * @param state whether the target accepts new requests
  * @param startedAtMillis start time of the target on the clock of the platform, 0 if
  * unknown
+ * @param sequence number that rises with each entry that the target publishes after its
+ * start, 0 if unknown
  */
 public record TargetEntry(TargetId id, PoolId pool, String host, int port, DomainId domain, int slots,
-		TargetState state, long startedAtMillis) {
+		TargetState state, long startedAtMillis, long sequence) {
 
 	/**
 	 * Returns whether the target accepts new requests.
@@ -28,6 +30,16 @@
 		return this.state == TargetState.READY;
 	}
 
+	/**
+	 * Returns whether the target has published this entry after another one of its own.
+	 * @param other the other entry
+	 * @return false also if this is the same entry
+	 */
+	public boolean isNewerThan(TargetEntry other) {
+		return (this.startedAtMillis != other.startedAtMillis) ? this.startedAtMillis > other.startedAtMillis
+				: this.sequence > other.sequence;
+	}
+
 	// The generated methods call method handles, which cost more than the comparison
 	// itself in code that the optimizing compiler has not compiled.
 	@Override
@@ -35,7 +47,7 @@
 		return this == other || (other instanceof TargetEntry that && this.id.equals(that.id)
 				&& this.pool.equals(that.pool) && this.host.equals(that.host) && this.port == that.port
 				&& this.domain.equals(that.domain) && this.slots == that.slots && this.state == that.state
-				&& this.startedAtMillis == that.startedAtMillis);
+				&& this.startedAtMillis == that.startedAtMillis && this.sequence == that.sequence);
 	}
 
 	@Override
--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -25,8 +25,12 @@
 	private final TargetDirectory directory = new TargetDirectory(GRACE_PERIOD_MILLIS);
 
 	private static DirectoryRecord entryRecord(String id, long offset, TargetState state) {
-		return new DirectoryRecord(new TargetId(id), new LogPosition(0, offset), Optional
-			.of(new TargetEntry(new TargetId(id), POOL, "127.0.0.1", 80, new DomainId("north"), 4, state, 0)));
+		return entryRecord(id, new LogPosition(0, offset), state, offset);
+	}
+
+	private static DirectoryRecord entryRecord(String id, LogPosition position, TargetState state, long sequence) {
+		return new DirectoryRecord(new TargetId(id), position, Optional.of(new TargetEntry(new TargetId(id), POOL,
+				"127.0.0.1", 80, new DomainId("north"), 4, state, 0, sequence)));
 	}
 
 	private static DirectoryRecord removal(String id, long offset) {
@@ -101,13 +105,60 @@
 	@Test
 	public void targetThatStartsToDrainAfterARestorationOfTheLogIsNotReady() {
 		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY));
-		targets.applySnapshot(List.of(restored(entryRecord("a", 3, TargetState.READY))), new LogPosition(1, 4), 10);
-		targets.apply(List.of(restored(entryRecord("a", 4, TargetState.DRAINING))), 20);
+		targets.applySnapshot(List.of(entryRecord("a", new LogPosition(1, 3), TargetState.READY, 50)),
+				new LogPosition(1, 4), 10);
+		targets.apply(List.of(entryRecord("a", new LogPosition(1, 4), TargetState.DRAINING, 51)), 20);
+		assertEquals(targets.readyCount(), 0);
+	}
+
+	@Test
+	public void restoredCopyDoesNotMakeADrainingTargetReadyAgain() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY),
+				entryRecord("a", 51, TargetState.DRAINING));
+		targets.applySnapshot(List.of(entryRecord("a", new LogPosition(1, 3), TargetState.READY, 50)),
+				new LogPosition(1, 4), 10);
+		assertEquals(targets.readyCount(), 0);
+		targets.apply(List.of(entryRecord("a", new LogPosition(1, 4), TargetState.DRAINING, 51)), 2000);
+		assertEquals(targets.applyHeld(60_000), List.of());
 		assertEquals(targets.readyCount(), 0);
 	}
 
-	private static DirectoryRecord restored(DirectoryRecord record) {
-		return new DirectoryRecord(record.id(), new LogPosition(1, record.position().offset()), record.entry());
+	@Test
+	public void restoredCopyDoesNotBringARemovedTargetBackBeforeItWouldHaveExpired() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY), removal("a", 51));
+		targets.applySnapshot(List.of(entryRecord("a", new LogPosition(1, 3), TargetState.READY, 50)),
+				new LogPosition(1, 4), 10);
+		targets.applyHeld(8009);
+		assertEquals(targets.readyCount(), 0);
+		targets.applyHeld(8010);
+		assertEquals(targets.readyCount(), 1);
+	}
+
+	@Test
+	public void removedTargetThatRenewsItsEntryAfterARestorationIsReady() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY), removal("a", 51));
+		targets.applySnapshot(List.of(entryRecord("a", new LogPosition(1, 3), TargetState.READY, 50)),
+				new LogPosition(1, 4), 10);
+		targets.apply(List.of(entryRecord("a", new LogPosition(1, 4), TargetState.READY, 52)), 1000);
+		assertEquals(targets.readyCount(), 1);
+	}
+
+	@Test
+	public void targetWhoseEntryARestorationLosesIsKeptUntilItHadTimeToRenewIt() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY));
+		targets.applySnapshot(List.of(), new LogPosition(1, 4), 10);
+		assertEquals(targets.readyCount(), 1);
+		targets.apply(List.of(entryRecord("a", new LogPosition(1, 4), TargetState.READY, 57)), 1500);
+		assertEquals(targets.removeMissing(60_000), List.of());
+		assertEquals(targets.readyCount(), 1);
+	}
+
+	@Test
+	public void targetWhoseEntryARestorationLosesForGoodIsRemoved() {
+		TargetDirectory targets = directoryWith(entryRecord("a", 50, TargetState.READY));
+		targets.applySnapshot(List.of(), new LogPosition(1, 4), 10);
+		assertEquals(targets.removeMissing(10 + GRACE_PERIOD_MILLIS), List.of(new TargetId("a")));
+		assertEquals(targets.readyCount(), 0);
 	}
 
 	@Test
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
@@ -37,7 +37,7 @@
 
 	private static TargetEntry target(String id, String domain) {
 		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId(domain), 8,
-				TargetState.READY, 0);
+				TargetState.READY, 0, 0);
 	}
 
 	private static List<TargetEntry> engines(int count) {
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
@@ -29,7 +29,7 @@
 
 	private static TargetEntry engine(String id) {
 		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId("north"), 64,
-				TargetState.READY, 0);
+				TargetState.READY, 0, 0);
 	}
 
 	@BeforeMethod
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -25,6 +24,8 @@
 import org.mustardlane.gateway.exchange.LoopLag;
 import org.mustardlane.gateway.front.FrontServer;
 import org.mustardlane.gateway.front.FrontSettings;
+import org.mustardlane.gateway.knowledge.AddressPublisher;
+import org.mustardlane.gateway.knowledge.LogEpoch;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.PauseDetector;
 import org.mustardlane.gateway.knowledge.ReadPolicy;
@@ -75,8 +76,6 @@
 	 */
 	private static final int ROUTING_STATE_TIMEOUT_MILLIS = 1000;
 
-	private static final int PUBLISH_RETRY_MILLIS = 1000;
-
 	/**
 	 * Limits in force until the first routes, which carry their own limits, are loaded.
 	 */
@@ -119,6 +118,8 @@
 
 	private final RecordLog recordLog;
 
+	private final AddressPublisher addressPublisher;
+
 	private volatile Optional<PeerGossip> peerGossip = Optional.empty();
 
 	private final PauseDetector pauseDetector;
@@ -150,19 +151,21 @@
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
 				this.shutdown::isStarted, this.clock, this.log);
 		this.recordLog = adapter.openLog(this.eventLoops);
+		LogEpoch logEpoch = new LogEpoch();
+		this.addressPublisher = new AddressPublisher(this.recordLog, settings.vm(), this.loop, this.log);
 		this.routesFollower = new TopicFollower(this.recordLog, Topic.ROUTES,
 				ReadPolicy.longPolling(settings.maxRoutesDelayMillis()),
-				new RoutesListener(this.routingState, this.log), this.loop);
+				new RoutesListener(this.routingState, this.log), this.loop, logEpoch);
 		this.targetsFollower = new TopicFollower(this.recordLog, Topic.TARGETS,
 				ReadPolicy.polling(settings.maxLeavingDelayMillis()), new TargetsListener(this.routingState, this.log),
-				this.loop);
+				this.loop, logEpoch);
 		this.routersFollower = new TopicFollower(this.recordLog, Topic.ROUTERS, ReadPolicy.INFREQUENT,
-				new RoutersListener(this::addPeer, this.log), this.loop);
+				new RoutersListener(this::addPeer, this.addressPublisher, this.log), this.loop, logEpoch);
 		QuarantineRecords quarantineRecords = new QuarantineRecords(this.quarantine, this.recordLog, this.loop,
 				this.log);
 		this.quarantine.addListener(quarantineRecords);
 		this.quarantinesFollower = new TopicFollower(this.recordLog, Topic.QUARANTINES, ReadPolicy.RARE_CHANGES,
-				quarantineRecords, this.loop);
+				quarantineRecords, this.loop, logEpoch);
 		this.pauseDetector = new PauseDetector(this.clock, System::currentTimeMillis);
 	}
 
@@ -262,24 +265,13 @@
 		PeerAddress ownAddress = new PeerAddress(address.getHostString(), server.port());
 		this.peerPort = server.port();
 		this.loop.execute(() -> gossip.start(ownAddress));
-		this.loop.execute(() -> publishAddress(ownAddress));
+		this.loop.execute(() -> this.addressPublisher.publish(ownAddress.host() + ":" + ownAddress.port()));
 	}
 
 	private void startHealthServer(InetSocketAddress address) throws IOException {
 		HealthServer.start(address, this.eventLoops, this.settings.readyPath(), this.metrics::scrape, this::isReady);
 	}
 
-	private void publishAddress(PeerAddress ownAddress) {
-		// A single successful write is enough: the log keeps the newest record of each
-		// router.
-		byte[] body = (ownAddress.host() + ":" + ownAddress.port()).getBytes(StandardCharsets.UTF_8);
-		this.recordLog.append(Topic.ROUTERS, this.settings.vm().value(), body).whenComplete((ignored, failure) -> {
-			if (failure != null) {
-				this.loop.schedule(() -> publishAddress(ownAddress), PUBLISH_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-			}
-		});
-	}
-
 	// An exception would end the periodic task.
 	private void runMaintenanceSafely() {
 		try {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
@@ -15,21 +15,26 @@
 
 	private final BiConsumer<String, String> addressConsumer;
 
+	private final AddressPublisher ownAddress;
+
 	private final DecisionLog log;
 
 	/**
 	 * Creates a listener.
 	 * @param addressConsumer accepts the VM name and the address of each router
+	 * @param ownAddress keeps the address of this router in the log
 	 * @param log log of decisions
 	 */
-	public RoutersListener(BiConsumer<String, String> addressConsumer, DecisionLog log) {
+	public RoutersListener(BiConsumer<String, String> addressConsumer, AddressPublisher ownAddress, DecisionLog log) {
 		this.addressConsumer = addressConsumer;
+		this.ownAddress = ownAddress;
 		this.log = log;
 	}
 
 	@Override
 	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
 		onRecords(records);
+		this.ownAddress.checkSnapshot(records);
 	}
 
 	@Override
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -122,8 +122,7 @@
 		this.targetsLoaded = true;
 		Set<String> snapshotKeys = snapshot.stream().map(KeyedRecord::key).collect(Collectors.toSet());
 		this.targetRecords.entrySet()
-			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey())
-					&& entry.getValue().position().offset() < end.offset());
+			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey()) && end.isAfter(entry.getValue().position()));
 		storeTargetRecords(snapshot);
 		notifyIfComplete();
 		List<DirectoryRecord> decodedRecords = decodeTargets(snapshot);
@@ -163,13 +162,13 @@
 	private void storeTargetRecords(List<KeyedRecord> logRecords) {
 		for (KeyedRecord logRecord : logRecords) {
 			this.targetRecords.merge(logRecord.key(), logRecord,
-					(stored, added) -> (added.position().offset() > stored.position().offset()) ? added : stored);
+					(stored, added) -> added.position().isAfter(stored.position()) ? added : stored);
 		}
 		if (this.targetRecords.size() > MAX_TARGET_RECORDS) {
 			LogPosition newest = targetsPosition();
 			this.targetRecords.values()
 				.removeIf((targetRecord) -> targetRecord.body().isEmpty()
-						&& targetRecord.position().offset() < newest.offset() - MAX_TARGET_RECORDS);
+						&& newest.plus(-MAX_TARGET_RECORDS).isAfter(targetRecord.position()));
 		}
 	}
 
@@ -184,7 +183,7 @@
 			this.targetsLoaded = true;
 			notifyIfComplete();
 			storeTargetRecords(relayedRecords);
-			logChanges(this.targets.applyRelayed(decodeTargets(relayedRecords)));
+			logChanges(this.targets.applyRelayed(decodeTargets(relayedRecords), this.clock.nowMillis()));
 		}
 	}
 
@@ -200,7 +199,7 @@
 		}
 		return this.targetRecords.values()
 			.stream()
-			.filter((targetRecord) -> targetRecord.position().offset() > position.offset())
+			.filter((targetRecord) -> targetRecord.position().isAfter(position))
 			.sorted(Comparator.comparing(KeyedRecord::position))
 			.toList();
 	}
@@ -281,12 +280,14 @@
 	}
 
 	/**
-	 * Removes targets that have been missing for longer than the grace period.
+	 * Removes targets that have been missing for longer than the grace period, and
+	 * applies entries that were held back for long enough.
 	 */
 	public void expireTargets() {
 		if (areRemovalsReliable()) {
 			this.positionBeforeOutage = Optional.empty();
 		}
+		logChanges(this.targets.applyHeld(this.clock.nowMillis()));
 		for (TargetId expiredTarget : this.targets.removeMissing(this.clock.nowMillis())) {
 			this.log.write(LogEvent.TARGET_CHANGED, "target", expiredTarget, "state", "NONE", "reason", "missing");
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -25,6 +25,11 @@
 
 	private static final int MAX_BACKOFF_MILLIS = 1000;
 
+	/**
+	 * All followers of all routers notice a restoration at the same time.
+	 */
+	private static final int MAX_RESTART_DELAY_MILLIS = 150;
+
 	private final RecordLog recordLog;
 
 	private final Topic topic;
@@ -35,13 +40,15 @@
 
 	private final EventLoop loop;
 
+	private final LogEpoch logEpoch;
+
 	private final List<KeyedRecord> snapshot = new ArrayList<>();
 
 	private LogPosition snapshotEnd = LogPosition.START;
 
-	private LogPosition next = LogPosition.START;
+	private Optional<LogPosition> next = Optional.empty();
 
-	private boolean hasRead;
+	private Optional<LogPosition> nextBeforeRestoration = Optional.empty();
 
 	private int generation;
 
@@ -56,14 +63,17 @@
 	 * @param readPolicy how the topic is polled
 	 * @param listener receives the records
 	 * @param loop event loop of the daemon
+	 * @param logEpoch epoch of the log, shared by all followers
 	 */
 	public TopicFollower(RecordLog recordLog, Topic topic, ReadPolicy readPolicy, TopicListener listener,
-			EventLoop loop) {
+			EventLoop loop, LogEpoch logEpoch) {
 		this.recordLog = recordLog;
 		this.topic = topic;
 		this.readPolicy = readPolicy;
 		this.listener = listener;
 		this.loop = loop;
+		this.logEpoch = logEpoch;
+		logEpoch.addRestorationListener(this::restart);
 	}
 
 	/**
@@ -76,13 +86,27 @@
 		readSnapshotPage(Optional.empty());
 	}
 
+	private void restart() {
+		boolean isStarted = this.generation > 0;
+		if (!isStarted) {
+			return;
+		}
+		if (this.nextBeforeRestoration.isEmpty()) {
+			this.nextBeforeRestoration = this.next;
+		}
+		this.generation++;
+		runLater(ThreadLocalRandom.current().nextInt(MAX_RESTART_DELAY_MILLIS), this::start);
+	}
+
 	private void readSnapshotPage(Optional<String> afterKey) {
 		handleResult(this.recordLog.readSnapshot(this.topic, afterKey),
 				(page) -> addSnapshotPage(page, afterKey.isEmpty()));
 	}
 
 	private void addSnapshotPage(SnapshotPage page, boolean firstPage) {
-		noticeRestoration(page.end());
+		if (!isUsable(page.end())) {
+			return;
+		}
 		if (firstPage) {
 			this.snapshotEnd = page.end();
 		}
@@ -91,15 +115,28 @@
 			readSnapshotPage(page.continueAfterKey());
 			return;
 		}
-		this.next = this.snapshotEnd;
+		this.next = Optional.of(this.snapshotEnd);
 		markAvailable();
+		this.nextBeforeRestoration.ifPresent((before) -> this.listener.onRestored(before, this.snapshotEnd));
+		this.nextBeforeRestoration = Optional.empty();
 		this.listener.onSnapshot(List.copyOf(this.snapshot), this.snapshotEnd);
 		this.snapshot.clear();
 		readNext();
 	}
 
+	private boolean isUsable(LogPosition end) {
+		int generationBefore = this.generation;
+		if (this.logEpoch.accept(end.epoch())) {
+			return true;
+		}
+		if (generationBefore == this.generation) {
+			handleFailure("response of epoch " + end.epoch() + " after a restoration of the log");
+		}
+		return false;
+	}
+
 	private void readNext() {
-		handleResult(this.recordLog.read(this.topic, this.next.offset(), this.readPolicy.maxWaitMillis()),
+		handleResult(this.recordLog.read(this.topic, this.next.orElseThrow().offset(), this.readPolicy.maxWaitMillis()),
 				this::handleBatch);
 	}
 
@@ -108,8 +145,10 @@
 			start();
 			return;
 		}
-		noticeRestoration(batch.next());
-		this.next = new LogPosition(batch.next().epoch(), Math.max(this.next.offset(), batch.next().offset()));
+		if (!isUsable(batch.next())) {
+			return;
+		}
+		this.next = Optional.of(batch.next());
 		markAvailable();
 		if (!batch.records().isEmpty()) {
 			this.listener.onRecords(batch.records());
@@ -117,14 +156,6 @@
 		runLater(this.readPolicy.delayMillis(), this::readNext);
 	}
 
-	private void noticeRestoration(LogPosition end) {
-		if (this.hasRead && end.epoch() != this.next.epoch()) {
-			this.listener.onRestored(this.next, end);
-		}
-		this.hasRead = true;
-		this.next = new LogPosition(end.epoch(), this.next.offset());
-	}
-
 	private void markAvailable() {
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
 		if (this.unavailable) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -39,6 +39,12 @@
 
 	private static final int APPEND_RETRY_MILLIS = 1000;
 
+	/**
+	 * All routers notice at the same time that the log has lost a record. One of them
+	 * stores it before the others try.
+	 */
+	private static final int MAX_REPEAT_DELAY_MILLIS = 3000;
+
 	private final PromptQuarantine quarantine;
 
 	private final RecordLog recordLog;
@@ -127,7 +133,13 @@
 
 	@Override
 	public void onSnapshot(List<KeyedRecord> records, LogPosition end) {
+		this.storedKeys.clear();
 		onRecords(records);
+		for (Quarantine known : this.quarantine.active()) {
+			if (!this.storedKeys.contains(keyOf(known))) {
+				appendLater(known, ThreadLocalRandom.current().nextInt(MAX_REPEAT_DELAY_MILLIS));
+			}
+		}
 	}
 
 	@Override
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
@@ -101,6 +101,8 @@
 						new KeyedRecord("t-2", new LogPosition(1, 3), Optional.of(new byte[0]))),
 				new LogPosition(1, 4));
 		this.peerState.applyTargets(List.of(new KeyedRecord("t-1", new LogPosition(1, 4), Optional.empty())));
+		this.nowMillis.set(2500);
+		this.peerState.expireTargets();
 		this.ownState.applyRelayedTargets(this.peerState.targetRecordsAfter(this.ownState.peerRequestPosition()));
 		assertEquals(readyTargets(this.ownState), List.of("t-2"));
 	}
@@ -129,7 +131,7 @@
 		@Override
 		public TargetEntry decodeTarget(String key, byte[] body) {
 			return new TargetEntry(new TargetId(key), POOL, "127.0.0.1", 1, new DomainId("north"), 4, TargetState.READY,
-					0);
+					0, 0);
 		}
 
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -39,7 +39,7 @@
 		this.recordLog = new FakeRecordLog();
 		this.listener = new RecordingListener();
 		this.follower = new TopicFollower(this.recordLog, Topic.TARGETS, new ReadPolicy(0, 5), this.listener,
-				this.loops.next());
+				this.loops.next(), new LogEpoch());
 	}
 
 	@AfterMethod
@@ -125,6 +125,24 @@
 		awaitValue("other", "three");
 	}
 
+	@Test
+	public void followerThatNoticesNoOutageStartsAnewWhenAnotherOneSeesTheRestoration() {
+		LogEpoch logEpoch = new LogEpoch();
+		RecordingListener waitingListener = new RecordingListener();
+		TopicFollower waiting = new TopicFollower(this.recordLog, Topic.ROUTERS, new ReadPolicy(0, 600_000),
+				waitingListener, this.loops.next(), logEpoch);
+		TopicFollower polling = new TopicFollower(this.recordLog, Topic.TARGETS, new ReadPolicy(0, 5), this.listener,
+				this.loops.next(), logEpoch);
+		write("key", "one");
+		this.loops.next().execute(waiting::start);
+		this.loops.next().execute(polling::start);
+		awaitValue("key", "one");
+		await().until(() -> waitingListener.snapshotCount.get() == 1);
+		this.recordLog.restore(Topic.TARGETS, 0);
+		await().until(() -> waitingListener.restorationCount.get() == 1 && waitingListener.snapshotCount.get() == 2);
+		assertEquals(waitingListener.outageCount.get(), 0);
+	}
+
 	@Test
 	public void unexpectedExceptionDoesNotEndTheReads() {
 		write("key", "one");
