--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -12,6 +12,7 @@
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.LostCall;
 import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.core.retry.AttemptFailure;
@@ -59,6 +60,8 @@
 
 	private final CallTargets callTargets;
 
+	private final CallFeatures features;
+
 	private Optional<Attempt> currentAttempt = Optional.empty();
 
 	private String lastTargetId = "";
@@ -80,6 +83,7 @@
 		this.onEnd = onEnd;
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
+		this.features = CallFeatures.of(routedCall.call());
 	}
 
 	/**
@@ -257,13 +261,18 @@
 		this.context.log()
 			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routedCall.pool(), "target",
 					this.lastTargetId, "result", failure, "next", step, "runs", this.possibleExecutions, "sends",
-					this.sendCount, "events", this.responseSink.eventCount(), "parts", partsText(), "detail", detail);
+					this.sendCount, "events", this.responseSink.eventCount(), "parts", partsText(), "contents",
+					contentsText(), "detail", detail);
 	}
 
 	private String partsText() {
 		return sharedParts().stream().map(PromptPartId::value).collect(Collectors.joining(" "));
 	}
 
+	private String contentsText() {
+		return this.features.contents().stream().map(CallFeature::value).collect(Collectors.joining(" "));
+	}
+
 	private List<PromptPartId> sharedParts() {
 		return this.routedCall.call().head().sharedParts();
 	}
