--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CallFeature.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CallFeature.java
@@ -44,6 +44,14 @@
 		return new CallFeature(CONTENT_PREFIX + Long.toHexString(MurmurHash3.hash128x64(content)[0]));
 	}
 
+	/**
+	 * Returns whether this is a feature of the whole content.
+	 * @return false for a part of a prompt
+	 */
+	public boolean isContent() {
+		return this.value.startsWith(CONTENT_PREFIX);
+	}
+
 	@Override
 	public int compareTo(CallFeature other) {
 		return this.value.compareTo(other.value);
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CrashEvidence.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,33 +13,23 @@
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
-import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 
 /**
- * Collects the calls that were lost with their engines, and finds the parts of prompts
- * that explain the crashes.
+ * Collects the calls that were lost with their targets, and finds the features of calls
+ * that explain the crashes: parts of prompts, or the content of a single request that
+ * comes again.
  *
  * <p>
- * A part that crashes every engine is found in a lost call of several crashes, and no
- * response to a prompt with it ever starts. Each response that starts clears the parts of
- * its prompt from the crashes before it. An engine that starts a response just after it
- * has lost a call has not crashed, and that call is no evidence. Not thread-safe.
+ * A feature that crashes every target is found in a lost call of several crashes. No
+ * response to a prompt with a crashing part ever starts, and no response to a crashing
+ * request is ever complete. Each response that starts clears the parts of its prompt from
+ * the crashes before it, each complete one its content. A target that starts a response
+ * just after it has lost a call has not crashed, and that call is no evidence. Not
+ * thread-safe.
  */
 public final class CrashEvidence {
 
-	/**
-	 * Number of crashes that a part must explain. Two may coincide with calls for a
-	 * seldom used part.
-	 */
-	private static final int MIN_CRASHES = 3;
-
-	/**
-	 * Several engines may crash together for another reason. Crashes closer than this
-	 * count as one; routers notice the same crash at slightly different times.
-	 */
-	private static final int CRASH_SEPARATION_MILLIS = 150;
-
 	/**
 	 * Time that reports of other routers about a crash may take.
 	 */
@@ -48,7 +37,7 @@
 
 	/**
 	 * Number of responses that must have started at this router since the first crash. If
-	 * hardly any response starts, the prompts are not the cause.
+	 * hardly any response starts, the calls are not the cause.
 	 */
 	private static final int MIN_OTHER_STARTS = 2;
 
@@ -59,7 +48,7 @@
 	private static final int OBSERVATION_SKEW_MILLIS = 250;
 
 	/**
-	 * An engine that has crashed does not respond again within this time.
+	 * A target that has crashed does not respond again within this time.
 	 */
 	private static final int MIN_RESTART_MILLIS = 1500;
 
@@ -71,7 +60,7 @@
 	private static final int MAX_LOST_CALLS = 512;
 
 	/**
-	 * Limits the size of messages between routers when many engines crash together.
+	 * Limits the size of messages between routers when many targets crash together.
 	 */
 	private static final int MAX_SHARED_CALLS = 64;
 
@@ -84,7 +73,7 @@
 
 	private final Map<CallKey, Evidence> lostCalls = new LinkedHashMap<>();
 
-	private final Map<PromptPartId, Long> lastStartMillis = new HashMap<>();
+	private final Map<CallFeature, Long> lastStartMillis = new HashMap<>();
 
 	private final Deque<StartedResponse> recentStarts = new ArrayDeque<>();
 
@@ -96,13 +85,13 @@
 	 * Adds a lost call.
 	 * @param call the call
 	 * @param nowMillis the current time
-	 * @return false if the call is already known or too old
+	 * @return false if the call is already known, too old or without features
 	 */
 	public boolean addLostCall(LostCall call, long nowMillis) {
 		removeOld(nowMillis);
 		CallKey key = new CallKey(call.target(), call.requestId());
 		boolean isTooOld = nowMillis - call.lostAtMillis() > RETENTION_MILLIS;
-		if (call.parts().isEmpty() || isTooOld || this.lostCalls.containsKey(key)) {
+		if (call.suspectFeatures().isEmpty() || isTooOld || this.lostCalls.containsKey(key)) {
 			return false;
 		}
 		Evidence added = new Evidence(call, nowMillis, this.startCount);
@@ -118,14 +107,14 @@
 		boolean anyRemoved = this.lostCalls.values()
 			.removeIf((evidence) -> nowMillis - evidence.call.lostAtMillis() > RETENTION_MILLIS);
 		if (anyRemoved) {
-			this.lastStartMillis.keySet().retainAll(partsOfLostCalls());
+			this.lastStartMillis.keySet().retainAll(featuresOfLostCalls());
 		}
 	}
 
-	private Set<PromptPartId> partsOfLostCalls() {
+	private Set<CallFeature> featuresOfLostCalls() {
 		return this.lostCalls.values()
 			.stream()
-			.flatMap((evidence) -> evidence.call.parts().stream())
+			.flatMap((evidence) -> evidence.call.suspectFeatures().stream())
 			.collect(Collectors.toSet());
 	}
 
@@ -154,7 +143,7 @@
 	}
 
 	private boolean contradict(Evidence evidence, StartedResponse response) {
-		boolean contradicts = disproveCrash(evidence, response) | clearParts(evidence.call, response);
+		boolean contradicts = disproveCrash(evidence, response) | clearFeatures(evidence.call, response);
 		if (contradicts && !response.equals(this.contradictions.peekLast())) {
 			addBounded(this.contradictions, response, MAX_CONTRADICTIONS);
 		}
@@ -178,20 +167,20 @@
 		return true;
 	}
 
-	private boolean clearParts(LostCall call, StartedResponse response) {
+	private boolean clearFeatures(LostCall call, StartedResponse response) {
 		boolean isCleared = false;
-		for (PromptPartId part : response.parts()) {
-			if (call.parts().contains(part) && response.startedAtMillis() > call.lostAtMillis()
-					&& isSuspect(part, call)) {
-				this.lastStartMillis.merge(part, response.startedAtMillis(), Math::max);
+		for (CallFeature feature : response.features()) {
+			if (response.startedAtMillis() > call.lostAtMillis() && call.suspectFeatures().contains(feature)
+					&& isSuspect(feature, call)) {
+				this.lastStartMillis.merge(feature, response.startedAtMillis(), Math::max);
 				isCleared = true;
 			}
 		}
 		return isCleared;
 	}
 
-	private boolean isSuspect(PromptPartId part, LostCall call) {
-		return this.lastStartMillis.getOrDefault(part, Long.MIN_VALUE) <= call.lostAtMillis();
+	private boolean isSuspect(CallFeature feature, LostCall call) {
+		return this.lastStartMillis.getOrDefault(feature, Long.MIN_VALUE) <= call.lostAtMillis();
 	}
 
 	/**
@@ -218,23 +207,15 @@
 	}
 
 	/**
-	 * Finds the parts that explain crashes which no quarantine explains yet.
+	 * Finds the features that explain crashes which no quarantine explains yet.
 	 * @param quarantines the quarantines in force
 	 * @param nowMillis the current time
-	 * @return the smallest known set of parts that all of these calls have in common, or
-	 * empty if no part explains enough crashes
+	 * @return the features that a call must have to be refused, or empty if no feature
+	 * explains enough crashes
 	 */
-	public Optional<Set<PromptPartId>> findCause(Collection<Quarantine> quarantines, long nowMillis) {
+	public Optional<Set<CallFeature>> findCause(Collection<Quarantine> quarantines, long nowMillis) {
 		removeOld(nowMillis);
-		List<Suspicion> suspicions = suspicions(nowMillis);
-		Set<Crash> explained = suspicions.stream()
-			.filter((suspicion) -> quarantines.stream().anyMatch((rule) -> rule.matches(suspicion.call().parts())))
-			.map(Suspicion::crash)
-			.collect(Collectors.toSet());
-		if (suspicions.stream().map(Suspicion::crash).allMatch(explained::contains)) {
-			return Optional.empty();
-		}
-		return candidates(suspicions, explained).stream().max(Candidate.BY_SPECIFICITY).map(Candidate::commonParts);
+		return new CauseFinder(suspicions(nowMillis), quarantines).find();
 	}
 
 	private List<Suspicion> suspicions(long nowMillis) {
@@ -242,12 +223,12 @@
 		List<Suspicion> suspicions = new ArrayList<>();
 		for (Evidence evidence : this.lostCalls.values()) {
 			if (!evidence.disproved && evidence.call.lostAtMillis() <= nowMillis - SETTLE_MILLIS) {
-				Set<PromptPartId> suspects = evidence.call.parts()
+				Set<CallFeature> suspects = evidence.call.suspectFeatures()
 					.stream()
-					.filter((part) -> isSuspect(part, evidence.call))
+					.filter((feature) -> isSuspect(feature, evidence.call))
 					.collect(Collectors.toCollection(TreeSet::new));
-				suspicions.add(new Suspicion(evidence.call, crashOf(evidence.call, crashes), suspects,
-						evidence.startCountBefore));
+				boolean othersStarted = this.startCount - evidence.startCountBefore >= MIN_OTHER_STARTS;
+				suspicions.add(new Suspicion(evidence.call, crashOf(evidence.call, crashes), suspects, othersStarted));
 			}
 		}
 		return suspicions;
@@ -255,7 +236,7 @@
 
 	private static Crash crashOf(LostCall call, List<Crash> crashes) {
 		for (Crash crash : crashes) {
-			if (crash.includes(call)) {
+			if (crash.includes(call, MIN_RESTART_MILLIS)) {
 				return crash;
 			}
 		}
@@ -264,82 +245,10 @@
 		return crash;
 	}
 
-	private List<Candidate> candidates(List<Suspicion> suspicions, Set<Crash> explained) {
-		Map<PromptPartId, List<Suspicion>> byPart = new HashMap<>();
-		for (Suspicion suspicion : suspicions) {
-			suspicion.suspects()
-				.forEach((part) -> byPart.computeIfAbsent(part, (absent) -> new ArrayList<>()).add(suspicion));
-		}
-		List<Candidate> candidates = new ArrayList<>();
-		byPart.forEach((part, ofPart) -> {
-			boolean isUnexplained = ofPart.stream().anyMatch((suspicion) -> !explained.contains(suspicion.crash()));
-			if (isUnexplained && hasOtherStarts(ofPart)) {
-				int crashCount = countSeparateCrashes(ofPart);
-				if (crashCount >= MIN_CRASHES && hasSeveralTargets(ofPart)) {
-					candidates.add(new Candidate(commonParts(ofPart), crashCount));
-				}
-			}
-		});
-		return candidates;
-	}
-
-	private boolean hasOtherStarts(List<Suspicion> ofPart) {
-		long startCountBefore = ofPart.stream().mapToLong(Suspicion::startCountBefore).min().orElse(this.startCount);
-		return this.startCount - startCountBefore >= MIN_OTHER_STARTS;
-	}
-
-	private static boolean hasSeveralTargets(List<Suspicion> ofPart) {
-		return ofPart.stream().map((suspicion) -> suspicion.call().target()).distinct().count() > 1;
-	}
-
-	private static int countSeparateCrashes(List<Suspicion> ofPart) {
-		List<Long> timesMillis = ofPart.stream().map((suspicion) -> suspicion.crash().atMillis()).sorted().toList();
-		int count = 0;
-		long lastMillis = 0;
-		for (long timeMillis : timesMillis) {
-			if (count == 0 || timeMillis - lastMillis >= CRASH_SEPARATION_MILLIS) {
-				count++;
-				lastMillis = timeMillis;
-			}
-		}
-		return count;
-	}
-
-	private static Set<PromptPartId> commonParts(List<Suspicion> ofPart) {
-		Set<PromptPartId> common = new TreeSet<>(ofPart.get(0).suspects());
-		ofPart.forEach((suspicion) -> common.retainAll(suspicion.suspects()));
-		return common;
-	}
-
 	private record CallKey(TargetId target, String requestId) {
 
 	}
 
-	private record Crash(TargetId target, long atMillis) {
-
-		private boolean includes(LostCall call) {
-			return this.target.equals(call.target())
-					&& Math.abs(call.lostAtMillis() - this.atMillis) < MIN_RESTART_MILLIS;
-		}
-
-	}
-
-	private record Suspicion(LostCall call, Crash crash, Set<PromptPartId> suspects, long startCountBefore) {
-
-	}
-
-	private record Candidate(Set<PromptPartId> commonParts, int crashCount) {
-
-		/**
-		 * A larger set of parts refuses fewer calls, so a larger one comes last.
-		 */
-		private static final Comparator<Candidate> BY_SPECIFICITY = Comparator
-			.comparingInt((Candidate candidate) -> candidate.commonParts().size())
-			.thenComparingInt(Candidate::crashCount)
-			.thenComparing((candidate) -> candidate.commonParts().toString());
-
-	}
-
 	private static final class Evidence {
 
 		private final LostCall call;
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/Quarantine.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/Quarantine.java
@@ -3,35 +3,33 @@
 import java.util.Collection;
 import java.util.Set;
 
-import org.mustardlane.core.model.common.PromptPartId;
-
 /**
- * A rule to refuse all calls whose prompts contain certain parts.
+ * A rule to refuse all calls with certain features.
  *
- * @param parts the parts, all of which a prompt must contain to be refused; never empty
+ * @param features the features, all of which a call must have to be refused; never empty
  * @param endUnixMillis time at which the rule ends. Processes that were started later
  * must understand it, so it is a time of the wall clock.
  */
-public record Quarantine(Set<PromptPartId> parts, long endUnixMillis) {
+public record Quarantine(Set<CallFeature> features, long endUnixMillis) {
 
 	/**
-	 * Copies the parts.
-	 * @throws IllegalArgumentException if there are no parts
+	 * Copies the features.
+	 * @throws IllegalArgumentException if there are no features
 	 */
 	public Quarantine {
-		parts = Set.copyOf(parts);
-		if (parts.isEmpty()) {
-			throw new IllegalArgumentException("a quarantine needs at least one part");
+		features = Set.copyOf(features);
+		if (features.isEmpty()) {
+			throw new IllegalArgumentException("a quarantine needs at least one feature");
 		}
 	}
 
 	/**
-	 * Returns whether the rule applies to a prompt.
-	 * @param promptParts the shared parts of the prompt
-	 * @return true if the prompt contains all parts of the rule
+	 * Returns whether the rule applies to a call.
+	 * @param callFeatures the features of the call
+	 * @return true if the call has all features of the rule
 	 */
-	public boolean matches(Collection<PromptPartId> promptParts) {
-		return promptParts.containsAll(this.parts);
+	public boolean matches(Collection<CallFeature> callFeatures) {
+		return callFeatures.containsAll(this.features);
 	}
 
 }
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/QuarantineTable.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/QuarantineTable.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.mustardlane.core.model.common.PromptPartId;
-
 /**
  * The quarantines in force.
  *
@@ -22,28 +20,28 @@
 	 */
 	private static final int MAX_QUARANTINES = 64;
 
-	private final Map<Set<PromptPartId>, Quarantine> quarantines = new HashMap<>();
+	private final Map<Set<CallFeature>, Quarantine> quarantines = new HashMap<>();
 
 	/**
-	 * Adds a quarantine. Of two for the same parts, the one that ends later stays. Above
-	 * a maximum number, the one that ends first is dropped.
+	 * Adds a quarantine. Of two for the same features, the one that ends later stays.
+	 * Above a maximum number, the one that ends first is dropped.
 	 * @param quarantine the quarantine
 	 * @param nowUnixMillis the current time of the wall clock
-	 * @return whether its parts were not quarantined before
+	 * @return whether its features were not quarantined before
 	 */
 	public boolean add(Quarantine quarantine, long nowUnixMillis) {
 		removeEnded(nowUnixMillis);
 		if (quarantine.endUnixMillis() <= nowUnixMillis) {
 			return false;
 		}
-		boolean isNew = !this.quarantines.containsKey(quarantine.parts());
-		this.quarantines.merge(quarantine.parts(), quarantine,
+		boolean isNew = !this.quarantines.containsKey(quarantine.features());
+		this.quarantines.merge(quarantine.features(), quarantine,
 				(known, added) -> (added.endUnixMillis() > known.endUnixMillis()) ? added : known);
 		if (this.quarantines.size() > MAX_QUARANTINES) {
 			this.quarantines.values()
 				.stream()
 				.min(Comparator.comparingLong(Quarantine::endUnixMillis))
-				.map(Quarantine::parts)
+				.map(Quarantine::features)
 				.ifPresent(this.quarantines::remove);
 		}
 		return isNew;
@@ -54,18 +52,18 @@
 	}
 
 	/**
-	 * Finds the quarantine that applies to a prompt.
-	 * @param promptParts the shared parts of the prompt
+	 * Finds the quarantine that applies to a call.
+	 * @param features the features of the call
 	 * @param nowUnixMillis the current time of the wall clock
 	 * @return the quarantine that ends last, or empty if the call may be sent
 	 */
-	public Optional<Quarantine> find(List<PromptPartId> promptParts, long nowUnixMillis) {
-		if (this.quarantines.isEmpty() || promptParts.isEmpty()) {
+	public Optional<Quarantine> find(List<CallFeature> features, long nowUnixMillis) {
+		if (this.quarantines.isEmpty() || features.isEmpty()) {
 			return Optional.empty();
 		}
 		return this.quarantines.values()
 			.stream()
-			.filter((quarantine) -> quarantine.endUnixMillis() > nowUnixMillis && quarantine.matches(promptParts))
+			.filter((quarantine) -> quarantine.endUnixMillis() > nowUnixMillis && quarantine.matches(features))
 			.max(Comparator.comparingLong(Quarantine::endUnixMillis));
 	}
 
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/StartedResponse.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/StartedResponse.java
@@ -2,23 +2,23 @@
 
 import java.util.List;
 
-import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 
 /**
- * A response that an engine has started without crashing.
+ * A response that a target has started or completed without crashing.
  *
- * @param target the engine
- * @param parts the shared parts of the prompt, in order
- * @param startedAtMillis time from which the engine is known to have survived the start
+ * @param target the target
+ * @param features the features that did not crash the target: the parts of the prompt
+ * once the response has started, the content once it is complete
+ * @param startedAtMillis time from which the target is known to have survived
  */
-public record StartedResponse(TargetId target, List<PromptPartId> parts, long startedAtMillis) {
+public record StartedResponse(TargetId target, List<CallFeature> features, long startedAtMillis) {
 
 	/**
-	 * Copies the parts.
+	 * Copies the features.
 	 */
 	public StartedResponse {
-		parts = List.copyOf(parts);
+		features = List.copyOf(features);
 	}
 
 }
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -1,5 +1,6 @@
 package org.mustardlane.core.quarantine;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,7 +10,6 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.TargetId;
 
 import static org.testng.Assert.assertEquals;
@@ -32,16 +32,18 @@
 		this.evidence = new CrashEvidence();
 	}
 
-	private static List<PromptPartId> parts(String text) {
-		return Stream.of(text.split(" ")).map(PromptPartId::new).toList();
+	private static List<CallFeature> parts(String text) {
+		return Stream.of(text.split(" ")).map(CallFeature::new).toList();
 	}
 
-	private static Optional<Set<PromptPartId>> cause(String text) {
+	private static Optional<Set<CallFeature>> cause(String text) {
 		return Optional.of(parts(text).stream().collect(Collectors.toSet()));
 	}
 
 	private LostCall lose(String target, String partsText, long atMillis) {
-		LostCall call = new LostCall(new TargetId(target), "r-" + this.requestCount++, parts(partsText), atMillis);
+		long sentAtMillis = atMillis - 500;
+		LostCall call = new LostCall(new TargetId(target), "r-" + this.requestCount++, parts(partsText), List.of(),
+				false, sentAtMillis, atMillis);
 		assertTrue(this.evidence.addLostCall(call, atMillis));
 		return call;
 	}
@@ -56,7 +58,7 @@
 		}
 	}
 
-	private Optional<Set<PromptPartId>> findCause(Quarantine... quarantines) {
+	private Optional<Set<CallFeature>> findCause(Quarantine... quarantines) {
 		return this.evidence.findCause(List.of(quarantines), LONG_AFTER_MILLIS);
 	}
 
@@ -100,7 +102,7 @@
 		lose("t-3", "common sound", 5010);
 		startOthers(5500);
 		Quarantine quarantine = new Quarantine(findCause().orElseThrow(), LONG_AFTER_MILLIS);
-		assertEquals(quarantine.parts(), cause("common dead").get());
+		assertEquals(quarantine.features(), cause("common dead").get());
 		assertEquals(findCause(quarantine), Optional.empty());
 	}
 
@@ -187,11 +189,111 @@
 		assertEquals(this.evidence.findCause(List.of(), 605_400), Optional.empty());
 	}
 
+	private void loseContent(String target, String content, boolean started, long sentAtMillis, long lostAtMillis) {
+		LostCall call = new LostCall(new TargetId(target), "r-" + this.requestCount++, List.of(),
+				List.of(content(content)), started, sentAtMillis, lostAtMillis);
+		assertTrue(this.evidence.addLostCall(call, lostAtMillis));
+	}
+
+	private static CallFeature content(String text) {
+		return CallFeature.ofContent(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static Optional<Set<CallFeature>> contentCause(String text) {
+		return Optional.of(Set.of(content(text)));
+	}
+
+	@Test
+	public void contentThatIsSentAgainAfterEachOfThreeCloseCrashesIsTheCause() {
+		loseContent("t-1", "dead", false, 900, 1000);
+		loseContent("t-2", "dead", false, 1000, 1100);
+		startOthers(1150);
+		assertEquals(findCause(), Optional.empty());
+		loseContent("t-3", "dead", false, 1110, 1220);
+		startOthers(1300);
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
+	@Test
+	public void contentOfCallsThatWaitAtTargetsThatCrashTogetherIsNoCause() {
+		for (int target = 1; target <= 6; target++) {
+			loseContent("t-" + target, "popular", false, 500, 1000 + target * 20);
+		}
+		startOthers(1500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void contentWhoseAnswerWasCompleteBetweenTheCrashesIsNoCause() {
+		loseContent("t-1", "sound", false, 900, 1000);
+		loseContent("t-2", "sound", false, 2900, 3000);
+		this.evidence.recordStart(new StartedResponse(new TargetId("t-4"), List.of(content("sound")), 3500));
+		loseContent("t-3", "sound", false, 4900, 5000);
+		startOthers(5500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void callThatACrashingOneTakesAlongIsNoCause() {
+		loseContent("t-1", "dead", false, 900, 1000);
+		loseContent("t-1", "sound", true, 100, 1005);
+		loseContent("t-2", "dead", false, 1900, 2000);
+		loseContent("t-2", "sound", true, 1005, 2005);
+		loseContent("t-3", "dead", false, 2900, 3000);
+		loseContent("t-3", "sound", false, 2005, 3005);
+		startOthers(3500);
+		assertEquals(findCause(), contentCause("dead"));
+		Quarantine quarantine = new Quarantine(findCause().orElseThrow(), LONG_AFTER_MILLIS);
+		assertEquals(findCause(quarantine), Optional.empty());
+	}
+
+	@Test
+	public void oneMoreCrashTellsACrashingCallFromOneThatWaitsWithIt() {
+		for (int crash = 1; crash <= 3; crash++) {
+			loseContent("t-" + crash, "dead", false, crash * 1000 - 100, crash * 1000);
+			loseContent("t-" + crash, "waiting", false, crash * 1000 - 200, crash * 1000);
+		}
+		startOthers(3500);
+		assertEquals(findCause(), Optional.empty());
+		loseContent("t-4", "dead", false, 3900, 4000);
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
+	@Test
+	public void contentThatCrashesTargetsAfterItsResponseHasStartedIsTheCause() {
+		for (int crash = 1; crash <= 3; crash++) {
+			loseContent("t-" + crash, "dead", true, crash * 1000 - 100, crash * 1000);
+		}
+		startOthers(3500);
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
+	@Test
+	public void startedCallsThatTheSameCrashesHaveEndedAreNoCause() {
+		for (int crash = 1; crash <= 3; crash++) {
+			loseContent("t-" + crash, "long", true, crash * 1000 - 100, crash * 1000);
+			loseContent("t-" + crash, "longer", true, crash * 1000 - 200, crash * 1000);
+		}
+		startOthers(3500);
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void contentIsRefusedRatherThanAPartThatOtherPromptsShare() {
+		for (int crash = 1; crash <= 3; crash++) {
+			assertTrue(this.evidence.addLostCall(new LostCall(new TargetId("t-" + crash), "r-" + crash, parts("common"),
+					List.of(content("dead")), false, crash * 1000 - 100, crash * 1000), crash * 1000));
+		}
+		startOthers(3500);
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
 	@Test
 	public void repeatedReportIsNotNew() {
 		LostCall call = lose("t-1", "dead", 1000);
 		assertFalse(this.evidence.addLostCall(call, 1500));
-		assertFalse(this.evidence.addLostCall(new LostCall(call.target(), "r", List.of(), 1000), 1500));
+		assertFalse(this.evidence.addLostCall(new LostCall(call.target(), "r", List.of(), List.of(), false, 1000, 1000),
+				1500));
 		assertEquals(this.evidence.lostCallsLearntAfter(999), List.of(call));
 		assertEquals(this.evidence.lostCallsLearntAfter(1000), List.of());
 	}
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/QuarantineTableTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/QuarantineTableTests.java
@@ -6,8 +6,6 @@
 
 import org.testng.annotations.Test;
 
-import org.mustardlane.core.model.common.PromptPartId;
-
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -17,9 +15,9 @@
  */
 public class QuarantineTableTests {
 
-	private static final PromptPartId FIRST = new PromptPartId("a");
+	private static final CallFeature FIRST = new CallFeature("a");
 
-	private static final PromptPartId SECOND = new PromptPartId("b");
+	private static final CallFeature SECOND = new CallFeature("b");
 
 	private final QuarantineTable table = new QuarantineTable();
 
@@ -29,7 +27,7 @@
 		assertTrue(this.table.add(quarantine, 0));
 		assertFalse(this.table.add(quarantine, 0));
 		assertEquals(this.table.find(List.of(FIRST), 999), Optional.empty());
-		assertEquals(this.table.find(List.of(SECOND, new PromptPartId("c"), FIRST), 999), Optional.of(quarantine));
+		assertEquals(this.table.find(List.of(SECOND, new CallFeature("c"), FIRST), 999), Optional.of(quarantine));
 		assertEquals(this.table.find(List.of(FIRST, SECOND), 1000), Optional.empty());
 		assertEquals(this.table.active(1000), List.of());
 	}
@@ -38,11 +36,11 @@
 	public void numberOfQuarantinesIsLimitedAndThoseThatEndLastStay() {
 		QuarantineTable limited = new QuarantineTable();
 		for (int end = 1; end <= 500; end++) {
-			limited.add(new Quarantine(Set.of(new PromptPartId("p" + end)), 1000 + end), 0);
+			limited.add(new Quarantine(Set.of(new CallFeature("p" + end)), 1000 + end), 0);
 		}
 		assertEquals(limited.active(0).size(), 64);
-		assertTrue(limited.find(List.of(new PromptPartId("p500")), 0).isPresent());
-		assertTrue(limited.find(List.of(new PromptPartId("p1")), 0).isEmpty());
+		assertTrue(limited.find(List.of(new CallFeature("p500")), 0).isPresent());
+		assertTrue(limited.find(List.of(new CallFeature("p1")), 0).isEmpty());
 	}
 
 	@Test
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -37,7 +37,7 @@
 import org.mustardlane.gateway.knowledge.Topic;
 import org.mustardlane.gateway.knowledge.TopicFollower;
 import org.mustardlane.gateway.peer.PeerGossip;
-import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.quarantine.QuarantineRecords;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
@@ -96,7 +96,7 @@
 
 	private final LoopLag loopLag = new LoopLag(MAINTENANCE_INTERVAL_MILLIS, this.clock.nowMillis());
 
-	private final PromptQuarantine quarantine;
+	private final CallQuarantine quarantine;
 
 	private final RoutingState routingState;
 
@@ -139,7 +139,7 @@
 		this.settings = settings;
 		this.shutdown = new GracefulShutdown(this.loop, this.clock, this.log, () -> this.settings.drainMillis());
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
-		this.quarantine = new PromptQuarantine(this.clock, System::currentTimeMillis, this.log);
+		this.quarantine = new CallQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -53,6 +53,8 @@
 
 	private Optional<Future<?>> silenceTimer = Optional.empty();
 
+	private long sentAtMillis;
+
 	private long lastReceivedMillis;
 
 	private boolean responseStarted;
@@ -76,7 +78,8 @@
 	 * @param body body of the request
 	 */
 	void send(String requestId, HttpMethod method, RequestSource requestSource, byte[] body) {
-		this.lastReceivedMillis = this.context.nowMillis();
+		this.sentAtMillis = this.context.nowMillis();
+		this.lastReceivedMillis = this.sentAtMillis;
 		this.load.requestStarted(this.lastReceivedMillis);
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
@@ -207,7 +210,7 @@
 		// Comments and parts of an event are no progress of a stream.
 		if (!sink.isEventStream() || !sink.lastEventId().equals(previousEventId)) {
 			this.lastReceivedMillis = this.context.nowMillis();
-			this.exchange.recordProgress(this.target, false);
+			this.exchange.evidence().recordProgress(this.target, sink.eventCount());
 		}
 	}
 
@@ -219,7 +222,7 @@
 		}
 		finish();
 		if (HttpStatusClass.SUCCESS.contains(this.status)) {
-			this.exchange.recordProgress(this.target, true);
+			this.exchange.evidence().recordCompletion(this.target);
 		}
 		this.exchange.endCompletedCall(this.status);
 	}
@@ -227,7 +230,7 @@
 	@Override
 	public void onFailure(CallFailure failure, String detail) {
 		if (failure != CallFailure.NOT_SENT) {
-			this.exchange.recordLostConnection(this.target);
+			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
 		}
 		if (failure == CallFailure.DROPPED_CONNECTION) {
 			// The end of an idle connection says nothing about the health of the target.
--- /dev/null
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -0,0 +1,94 @@
+package org.mustardlane.gateway.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.quarantine.CallFeature;
+import org.mustardlane.core.quarantine.LostCall;
+import org.mustardlane.core.quarantine.StartedResponse;
+import org.mustardlane.gateway.quarantine.QuarantineMatch;
+
+/**
+ * What one call shows about the features that crash targets.
+ *
+ * <p>
+ * Confined to the event loop of the daemon.
+ */
+final class CallEvidence {
+
+	/**
+	 * Number of events after which a target has survived the start of its response. It
+	 * may crash after the first one is on its way.
+	 */
+	private static final int STARTED_EVENTS = 2;
+
+	private final ExchangeContext context;
+
+	private final String requestId;
+
+	private final CallFeatures features;
+
+	private boolean responseStarted;
+
+	CallEvidence(ExchangeContext context, String requestId, CallFeatures features) {
+		this.context = context;
+		this.requestId = requestId;
+		this.features = features;
+	}
+
+	/**
+	 * Returns the quarantine that applies to the call while its response has not started.
+	 * @return the quarantine, or empty if the call may be sent
+	 */
+	Optional<QuarantineMatch> findQuarantine() {
+		return this.responseStarted ? Optional.empty() : this.context.quarantine().find(this.features.all());
+	}
+
+	/**
+	 * Records that a target ended its connection, so that the call may have crashed it.
+	 * @param target the target
+	 * @param sentAtMillis time at which the call was sent to the target
+	 */
+	void recordLostConnection(TargetEntry target, long sentAtMillis) {
+		List<CallFeature> promptParts = this.responseStarted ? List.of() : this.features.promptParts();
+		this.context.quarantine()
+			.recordLoss(new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
+					this.responseStarted, sentAtMillis, this.context.nowMillis()));
+	}
+
+	/**
+	 * Records that a target has sent a further part of the response.
+	 * @param target the target
+	 * @param eventCount number of events of the response so far
+	 */
+	void recordProgress(TargetEntry target, int eventCount) {
+		if (!this.responseStarted && eventCount >= STARTED_EVENTS) {
+			this.responseStarted = true;
+			recordSurvival(target, this.features.promptParts());
+		}
+	}
+
+	/**
+	 * Records that a target has sent a complete successful response.
+	 * @param target the target
+	 */
+	void recordCompletion(TargetEntry target) {
+		List<CallFeature> survived = new ArrayList<>(this.features.contents());
+		if (!this.responseStarted) {
+			survived.addAll(this.features.promptParts());
+		}
+		this.responseStarted = true;
+		recordSurvival(target, survived);
+	}
+
+	private void recordSurvival(TargetEntry target, List<CallFeature> survived) {
+		this.context.quarantine().recordStart(new StartedResponse(target.id(), survived, this.context.nowMillis()));
+	}
+
+	CallFeatures features() {
+		return this.features;
+	}
+
+}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
@@ -24,6 +25,7 @@
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
 import org.mustardlane.gateway.quarantine.QuarantineListener;
+import org.mustardlane.gateway.quarantine.QuarantineMatch;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
 
@@ -40,7 +42,9 @@
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
-	static final String QUARANTINE_REASON = "The prompt has a part that crashes engines";
+	private static final String PART_QUARANTINE_REASON = "The prompt has a part that crashes engines";
+
+	private static final String CONTENT_QUARANTINE_REASON = "The request crashes the targets that run it";
 
 	private final ExchangeContext context;
 
@@ -92,17 +96,27 @@
 		if (table.requiresKey(route.get()) && findOrganisation(table, head).isEmpty()) {
 			return Optional.of(Rejection.permanent(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
 		}
-		return findQuarantineRejection(head).or(() -> findShutdownRejection(route.get()));
+		List<CallFeature> promptParts = head.sharedParts().stream().map(CallFeature::ofPromptPart).toList();
+		return findQuarantineRejection(promptParts).or(() -> findShutdownRejection(route.get()));
 	}
 
-	private Optional<Rejection> findQuarantineRejection(CallHead head) {
-		return this.context.quarantine().remainingMillis(head.sharedParts()).map((remainingMillis) -> {
+	private Optional<Rejection> findQuarantineRejection(List<CallFeature> features) {
+		return this.context.quarantine().find(features).map((quarantine) -> {
 			this.context.metrics().recordQuarantinedCall();
-			return Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), QUARANTINE_REASON,
-					remainingMillis);
+			return Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), quarantineReason(quarantine),
+					quarantine.remainingMillis());
 		});
 	}
 
+	/**
+	 * Returns why a quarantined call is refused.
+	 * @param quarantine the quarantine
+	 * @return the reason in the response to the caller
+	 */
+	static String quarantineReason(QuarantineMatch quarantine) {
+		return quarantine.byContent() ? CONTENT_QUARANTINE_REASON : PART_QUARANTINE_REASON;
+	}
+
 	private Optional<Rejection> findShutdownRejection(Route route) {
 		OptionalLong shutdownMillis = this.shutdownDeadlineMillis.get();
 		if (shutdownMillis.isEmpty()
@@ -119,8 +133,10 @@
 
 	@Override
 	public OpenCall open(Call call, CallerChannel caller) {
+		CallFeatures features = CallFeatures.of(call);
 		// The routes may have changed since the head was checked.
-		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis());
+		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis())
+			.or(() -> findQuarantineRejection(features.all()));
 		if (rejection.isPresent()) {
 			this.context.log()
 				.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status",
@@ -128,7 +144,7 @@
 			caller.reject(rejection.get());
 			return EndedCall.INSTANCE;
 		}
-		return this.context.routingState().isComplete() ? startExchange(call, caller) : defer(call, caller);
+		return this.context.routingState().isComplete() ? startExchange(call, features, caller) : defer(call, caller);
 	}
 
 	private OpenCall defer(Call call, CallerChannel caller) {
@@ -141,13 +157,13 @@
 		return deferredCall;
 	}
 
-	private OpenCall startExchange(Call call, CallerChannel caller) {
+	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller) {
 		RouteTable table = this.context.routingState().routes().orElseThrow();
 		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
 		PoolId pool = route.pickPool(this.context.nextRandom());
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
-				table.version());
+				features, table.version());
 		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
 		exchange.start();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -11,10 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.directory.TargetEntry;
-import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.quarantine.CallFeature;
-import org.mustardlane.core.quarantine.LostCall;
-import org.mustardlane.core.quarantine.StartedResponse;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
@@ -42,12 +39,6 @@
 
 	private static final int LAG_DELAY_MILLIS = 2;
 
-	/**
-	 * Number of events after which a target has survived the start of its response. It
-	 * may crash after the first one is on its way.
-	 */
-	private static final int STARTED_EVENTS = 2;
-
 	private final ExchangeContext context;
 
 	private final RoutedCall routedCall;
@@ -60,7 +51,7 @@
 
 	private final CallTargets callTargets;
 
-	private final CallFeatures features;
+	private final CallEvidence evidence;
 
 	private Optional<Attempt> currentAttempt = Optional.empty();
 
@@ -72,8 +63,6 @@
 
 	private int sendCount;
 
-	private boolean responseStarted;
-
 	private boolean ended;
 
 	Exchange(ExchangeContext context, RoutedCall routedCall, CallerChannel caller, Consumer<Exchange> onEnd) {
@@ -83,7 +72,7 @@
 		this.onEnd = onEnd;
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
-		this.features = CallFeatures.of(routedCall.call());
+		this.evidence = new CallEvidence(context, routedCall.call().head().requestId(), routedCall.features());
 	}
 
 	/**
@@ -132,19 +121,19 @@
 	}
 
 	/**
-	 * Ends the call if its prompt is quarantined and its response has not started.
+	 * Ends the call if it is quarantined and its response has not started.
 	 */
 	void endIfQuarantined() {
-		if (this.ended || this.responseStarted) {
+		if (this.ended) {
 			return;
 		}
-		this.context.quarantine().remainingMillis(sharedParts()).ifPresent((remainingMillis) -> {
+		this.evidence.findQuarantine().ifPresent((quarantine) -> {
 			if (this.currentAttempt.filter(Attempt::isSent).isPresent()) {
 				this.possibleExecutions++;
 			}
 			this.currentAttempt.ifPresent(Attempt::cancel);
 			this.currentAttempt = Optional.empty();
-			giveUp(CallRouter.QUARANTINE_REASON, remainingMillis);
+			giveUp(CallRouter.quarantineReason(quarantine), quarantine.remainingMillis());
 		});
 	}
 
@@ -261,46 +250,17 @@
 		this.context.log()
 			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routedCall.pool(), "target",
 					this.lastTargetId, "result", failure, "next", step, "runs", this.possibleExecutions, "sends",
-					this.sendCount, "events", this.responseSink.eventCount(), "parts", partsText(), "contents",
-					contentsText(), "detail", detail);
-	}
-
-	private String partsText() {
-		return sharedParts().stream().map(PromptPartId::value).collect(Collectors.joining(" "));
-	}
-
-	private String contentsText() {
-		return this.features.contents().stream().map(CallFeature::value).collect(Collectors.joining(" "));
-	}
-
-	private List<PromptPartId> sharedParts() {
-		return this.routedCall.call().head().sharedParts();
+					this.sendCount, "events", this.responseSink.eventCount(), "parts",
+					join(this.evidence.features().promptParts()), "contents", join(this.evidence.features().contents()),
+					"detail", detail);
 	}
 
-	/**
-	 * Records that a target ended its connection. If the response had not started, the
-	 * prompt may have crashed the target.
-	 * @param target the target
-	 */
-	void recordLostConnection(TargetEntry target) {
-		if (!this.responseStarted) {
-			this.context.quarantine()
-				.recordLoss(new LostCall(target.id(), requestId(), sharedParts(), this.context.nowMillis()));
-		}
+	private static String join(List<CallFeature> features) {
+		return features.stream().map(CallFeature::value).collect(Collectors.joining(" "));
 	}
 
-	/**
-	 * Records that a target has sent a further part of the response.
-	 * @param target the target
-	 * @param complete whether the response is complete
-	 */
-	void recordProgress(TargetEntry target, boolean complete) {
-		if (this.responseStarted || (!complete && this.responseSink.eventCount() < STARTED_EVENTS)) {
-			return;
-		}
-		this.responseStarted = true;
-		this.context.quarantine()
-			.recordStart(new StartedResponse(target.id(), sharedParts(), this.context.nowMillis()));
+	CallEvidence evidence() {
+		return this.evidence;
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -19,7 +19,7 @@
 import org.mustardlane.core.retry.RetryLimits;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.RoutingState;
-import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.target.TargetClient;
@@ -65,7 +65,7 @@
 
 	private final LoopLag loopLag;
 
-	private final PromptQuarantine quarantine;
+	private final CallQuarantine quarantine;
 
 	private final Map<PoolId, RetryBudget> retryBudgets = new HashMap<>();
 
@@ -83,13 +83,13 @@
 	 * the limits
 	 * @param newsAnnouncer lets other routers know at once what this router has learnt
 	 * @param loopLag detects that the event loop lags
-	 * @param quarantine refuses prompts that crash engines
+	 * @param quarantine refuses calls that crash targets
 	 * @param domain failure domain of this router
 	 * @param random supplies random numbers from 0 (inclusive) to 1 (exclusive)
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			Supplier<FleetPosition> fleetPosition, Runnable newsAnnouncer, LoopLag loopLag, PromptQuarantine quarantine,
+			Supplier<FleetPosition> fleetPosition, Runnable newsAnnouncer, LoopLag loopLag, CallQuarantine quarantine,
 			DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
@@ -186,7 +186,7 @@
 		this.newsAnnouncer.run();
 	}
 
-	PromptQuarantine quarantine() {
+	CallQuarantine quarantine() {
 		return this.quarantine;
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
@@ -20,10 +20,11 @@
  * no known key
  * @param engine capabilities of the engines of the pool, empty for a pool of plain
  * services
+ * @param features features that may crash the targets that run the call
  * @param routesVersion version of the routes that was used
  */
 record RoutedCall(Call call, Route route, PoolId pool, Optional<Organisation> organisation, Optional<EngineSpec> engine,
-		long routesVersion) {
+		CallFeatures features, long routesVersion) {
 
 	/**
 	 * Returns whether the engines of the pool copy prompt prefixes from each other.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -20,7 +20,7 @@
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.RoutingState;
-import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
@@ -87,7 +87,7 @@
 
 	private final LoadTable loads;
 
-	private final PromptQuarantine quarantine;
+	private final CallQuarantine quarantine;
 
 	private final PeerDialer dialer;
 
@@ -116,7 +116,7 @@
 	 * @param log log of decisions
 	 */
 	public PeerGossip(VmId ownVm, List<PeerAddress> seeds, RoutingState routingState, LoadTable loads,
-			PromptQuarantine quarantine, PeerDialer dialer, EventLoop loop, MonotonicClock clock, DecisionLog log) {
+			CallQuarantine quarantine, PeerDialer dialer, EventLoop loop, MonotonicClock clock, DecisionLog log) {
 		this.ownVm = ownVm;
 		this.registry = new PeerRegistry(ownVm, seeds);
 		this.routingState = routingState;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/PromptQuarantine.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/CallQuarantine.java
@@ -7,7 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
-import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.CrashEvidence;
 import org.mustardlane.core.quarantine.LostCall;
 import org.mustardlane.core.quarantine.Quarantine;
@@ -23,10 +23,10 @@
  * <p>
  * Confined to the event loop of the daemon.
  */
-public final class PromptQuarantine {
+public final class CallQuarantine {
 
 	/**
-	 * Time for operators to remove the cause. Afterwards the part must crash engines
+	 * Time for operators to remove the cause. Afterwards such calls must crash targets
 	 * again to be refused again.
 	 */
 	private static final int QUARANTINE_MILLIS = 600_000;
@@ -49,7 +49,7 @@
 	 * @param unixMillis supplies the wall clock time in milliseconds
 	 * @param log log of decisions
 	 */
-	public PromptQuarantine(MonotonicClock clock, LongSupplier unixMillis, DecisionLog log) {
+	public CallQuarantine(MonotonicClock clock, LongSupplier unixMillis, DecisionLog log) {
 		this.clock = clock;
 		this.unixMillis = unixMillis;
 		this.log = log;
@@ -92,7 +92,7 @@
 	private void notifyIfContradicted(StartedResponse response, boolean contradicts) {
 		if (contradicts) {
 			this.log.write(LogEvent.CRASH_EVIDENCE_CONTRADICTED, "target", response.target(), "parts",
-					joinParts(response.parts()));
+					join(response.features()));
 			notifyNews();
 		}
 	}
@@ -114,7 +114,7 @@
 	 */
 	public void evaluate() {
 		long nowUnixMillis = this.unixMillis.getAsLong();
-		Optional<Set<PromptPartId>> cause = this.evidence.findCause(this.table.active(nowUnixMillis),
+		Optional<Set<CallFeature>> cause = this.evidence.findCause(this.table.active(nowUnixMillis),
 				this.clock.nowMillis());
 		if (cause.isEmpty()) {
 			return;
@@ -127,13 +127,13 @@
 	}
 
 	private void logAdded(Quarantine quarantine, String source) {
-		this.log.warn(LogEvent.QUARANTINE_ADDED, "parts", joinParts(quarantine.parts()), "endUnixMillis",
+		this.log.warn(LogEvent.QUARANTINE_ADDED, "parts", join(quarantine.features()), "endUnixMillis",
 				quarantine.endUnixMillis(), "source", source);
 	}
 
-	private static String joinParts(Iterable<PromptPartId> parts) {
+	private static String join(Iterable<CallFeature> features) {
 		List<String> names = new ArrayList<>();
-		parts.forEach((part) -> names.add(part.value()));
+		features.forEach((feature) -> names.add(feature.value()));
 		return names.stream().sorted().collect(Collectors.joining(" "));
 	}
 
@@ -142,14 +142,15 @@
 	}
 
 	/**
-	 * Returns for how long calls with a prompt must not be sent.
-	 * @param promptParts the shared parts of the prompt
-	 * @return the remaining time in milliseconds, or empty if the call may be sent
+	 * Finds the quarantine that applies to a call.
+	 * @param features the features of the call
+	 * @return the quarantine, or empty if the call may be sent
 	 */
-	public Optional<Long> remainingMillis(List<PromptPartId> promptParts) {
+	public Optional<QuarantineMatch> find(List<CallFeature> features) {
 		long nowUnixMillis = this.unixMillis.getAsLong();
-		return this.table.find(promptParts, nowUnixMillis)
-			.map((quarantine) -> quarantine.endUnixMillis() - nowUnixMillis);
+		return this.table.find(features, nowUnixMillis)
+			.map((quarantine) -> new QuarantineMatch(quarantine.features().stream().anyMatch(CallFeature::isContent),
+					quarantine.endUnixMillis() - nowUnixMillis));
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineListener.java
@@ -3,7 +3,7 @@
 import org.mustardlane.core.quarantine.Quarantine;
 
 /**
- * Receives what other routers should know about prompts that crash engines. Called on the
+ * Receives what other routers should know about calls that crash targets. Called on the
  * event loop of the daemon.
  */
 public interface QuarantineListener {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -11,8 +11,8 @@
 import io.netty.channel.EventLoop;
 
 import org.mustardlane.core.directory.LogPosition;
-import org.mustardlane.core.model.common.PromptPartId;
 import org.mustardlane.core.model.common.RendezvousHash;
+import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.RecordLog;
@@ -45,7 +45,7 @@
 	 */
 	private static final int MAX_REPEAT_DELAY_MILLIS = 3000;
 
-	private final PromptQuarantine quarantine;
+	private final CallQuarantine quarantine;
 
 	private final RecordLog recordLog;
 
@@ -62,7 +62,7 @@
 	 * @param loop event loop of the daemon
 	 * @param log log of decisions
 	 */
-	public QuarantineRecords(PromptQuarantine quarantine, RecordLog recordLog, EventLoop loop, DecisionLog log) {
+	public QuarantineRecords(CallQuarantine quarantine, RecordLog recordLog, EventLoop loop, DecisionLog log) {
 		this.quarantine = quarantine;
 		this.recordLog = recordLog;
 		this.loop = loop;
@@ -104,8 +104,12 @@
 	}
 
 	private static String keyOf(Quarantine decision) {
-		String parts = decision.parts().stream().map(PromptPartId::value).sorted().collect(Collectors.joining(" "));
-		return Long.toHexString(RendezvousHash.hash(parts));
+		String features = decision.features()
+			.stream()
+			.map(CallFeature::value)
+			.sorted()
+			.collect(Collectors.joining(" "));
+		return Long.toHexString(RendezvousHash.hash(features));
 	}
 
 	/**
@@ -115,7 +119,7 @@
 	 */
 	public static QuarantineRecord encode(Quarantine quarantine) {
 		return QuarantineRecord.newBuilder()
-			.addAllParts(quarantine.parts().stream().map(PromptPartId::value).sorted().toList())
+			.addAllParts(quarantine.features().stream().map(CallFeature::value).sorted().toList())
 			.setEndUnixMillis(quarantine.endUnixMillis())
 			.build();
 	}
@@ -127,8 +131,8 @@
 	 * @throws IllegalArgumentException if the message has no parts or an empty one
 	 */
 	public static Quarantine decode(QuarantineRecord message) {
-		Set<PromptPartId> parts = message.getPartsList().stream().map(PromptPartId::new).collect(Collectors.toSet());
-		return new Quarantine(parts, message.getEndUnixMillis());
+		Set<CallFeature> features = message.getPartsList().stream().map(CallFeature::new).collect(Collectors.toSet());
+		return new Quarantine(features, message.getEndUnixMillis());
 	}
 
 	@Override
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -32,7 +32,7 @@
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.RoutingState;
-import org.mustardlane.gateway.quarantine.PromptQuarantine;
+import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.LogRateLimiter;
@@ -72,7 +72,7 @@
 		ExchangeContext context = new ExchangeContext(this.loop, this.routingState, null, null, this.nowMillis::get,
 				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> new FleetPosition(0, 1),
 				() -> {
-				}, new LoopLag(250, 0), new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log),
+				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
 				new DomainId("north"), () -> 0.5);
 		this.router = new CallRouter(context, OptionalLong::empty);
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/quarantine/QuarantineRecordsTests.java
@@ -13,7 +13,7 @@
 import org.testng.annotations.Test;
 
 import org.mustardlane.core.directory.LogPosition;
-import org.mustardlane.core.model.common.PromptPartId;
+import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.gateway.knowledge.SnapshotPage;
@@ -33,7 +33,7 @@
 
 	private static final long END_UNIX_MILLIS = 600_000;
 
-	private static final Quarantine QUARANTINE = new Quarantine(Set.of(new PromptPartId("a"), new PromptPartId("b")),
+	private static final Quarantine QUARANTINE = new Quarantine(Set.of(new CallFeature("a"), new CallFeature("b")),
 			END_UNIX_MILLIS);
 
 	private final AtomicLong nowMillis = new AtomicLong();
@@ -42,7 +42,7 @@
 
 	private EventLoop loop;
 
-	private PromptQuarantine quarantine;
+	private CallQuarantine quarantine;
 
 	private QuarantineRecords records;
 
@@ -52,7 +52,7 @@
 		this.recordLog = new FakeRecordLog();
 		this.loop = new DefaultEventLoop();
 		DecisionLog log = new DecisionLog(new LogRateLimiter(100, this.nowMillis::get), this.nowMillis::get);
-		this.quarantine = new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log);
+		this.quarantine = new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log);
 		this.records = new QuarantineRecords(this.quarantine, this.recordLog, this.loop, log);
 	}
 
@@ -100,7 +100,7 @@
 
 	private void setUpReader() {
 		DecisionLog log = new DecisionLog(new LogRateLimiter(100, this.nowMillis::get), this.nowMillis::get);
-		this.quarantine = new PromptQuarantine(this.nowMillis::get, this.nowMillis::get, log);
+		this.quarantine = new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log);
 		this.records = new QuarantineRecords(this.quarantine, this.recordLog, this.loop, log);
 	}
 
@@ -124,7 +124,7 @@
 		this.records.onRecords(List.of(new KeyedRecord("empty", new LogPosition(0, 1), Optional.of(new byte[0])),
 				new KeyedRecord("removed", new LogPosition(0, 2), Optional.empty()),
 				new KeyedRecord("key", new LogPosition(0, 3), Optional.of(body))));
-		assertTrue(this.quarantine.remainingMillis(List.copyOf(QUARANTINE.parts())).isPresent());
+		assertTrue(this.quarantine.find(List.copyOf(QUARANTINE.features())).isPresent());
 	}
 
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
@@ -90,22 +90,24 @@
       "rtedLimit\022\021\n\tnews_only\030\014 \001(\010\022\025\n\rtargets_" +
       "epoch\030\r \001(\003\"[\n\rReportedLimit\022\016\n\006target\030\001" +
       " \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_mil" +
-      "lis\030\003 \001(\rB\r\n\013_per_second\"W\n\016LostCallRepo" +
-      "rt\022\016\n\006target\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r" +
-      "\n\005parts\030\003 \003(\t\022\022\n\nage_millis\030\004 \001(\r\"J\n\025Sta" +
-      "rtedResponseReport\022\016\n\006target\030\001 \001(\t\022\r\n\005pa" +
-      "rts\030\002 \003(\t\022\022\n\nage_millis\030\003 \001(\r\":\n\020Quarant" +
-      "ineRecord\022\r\n\005parts\030\001 \003(\t\022\027\n\017end_unix_mil" +
-      "lis\030\002 \001(\003\"7\n\rRouterAddress\022\n\n\002vm\030\001 \001(\t\022\014" +
-      "\n\004host\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"E\n\tLogRecord\022" +
-      "\013\n\003key\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\014\n\004body\030\003 \001" +
-      "(\014\022\r\n\005epoch\030\004 \001(\003\"{\n\nStatedLoad\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(" +
-      "\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005 \001" +
-      "(\r\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeServi" +
-      "ce\022F\n\010Exchange\022\034.mustardlane.KnowledgeDi" +
-      "gest\032\034.mustardlane.KnowledgeDigestB\034\n\030or" +
-      "g.mustardlane.protocolP\001b\006proto3"
+      "lis\030\003 \001(\rB\r\n\013_per_second\"\244\001\n\016LostCallRep" +
+      "ort\022\016\n\006target\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022" +
+      "\r\n\005parts\030\003 \003(\t\022\022\n\nage_millis\030\004 \001(\r\022\020\n\010co" +
+      "ntents\030\005 \003(\t\022\017\n\007started\030\006 \001(\010\022\030\n\013held_mi" +
+      "llis\030\007 \001(\rH\000\210\001\001B\016\n\014_held_millis\"J\n\025Start" +
+      "edResponseReport\022\016\n\006target\030\001 \001(\t\022\r\n\005part" +
+      "s\030\002 \003(\t\022\022\n\nage_millis\030\003 \001(\r\":\n\020Quarantin" +
+      "eRecord\022\r\n\005parts\030\001 \003(\t\022\027\n\017end_unix_milli" +
+      "s\030\002 \001(\003\"7\n\rRouterAddress\022\n\n\002vm\030\001 \001(\t\022\014\n\004" +
+      "host\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\"E\n\tLogRecord\022\013\n" +
+      "\003key\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\014\n\004body\030\003 \001(\014" +
+      "\022\r\n\005epoch\030\004 \001(\003\"{\n\nStatedLoad\022\016\n\006target\030" +
+      "\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
+      "\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005 \001(\r" +
+      "\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeService" +
+      "\022F\n\010Exchange\022\034.mustardlane.KnowledgeDige" +
+      "st\032\034.mustardlane.KnowledgeDigestB\034\n\030org." +
+      "mustardlane.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -128,7 +130,7 @@
     internal_static_mustardlane_LostCallReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_LostCallReport_descriptor,
-        new java.lang.String[] { "Target", "RequestId", "Parts", "AgeMillis", });
+        new java.lang.String[] { "Target", "RequestId", "Parts", "AgeMillis", "Contents", "Started", "HeldMillis", });
     internal_static_mustardlane_StartedResponseReport_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_mustardlane_StartedResponseReport_fieldAccessorTable = new
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReport.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReport.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A call that was lost before its response started.
+ * A call whose target ended the connection.
  * </pre>
  *
  * Protobuf type {@code mustardlane.LostCallReport}
@@ -36,6 +36,8 @@
     requestId_ = "";
     parts_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    contents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -56,6 +58,7 @@
             org.mustardlane.protocol.LostCallReport.class, org.mustardlane.protocol.LostCallReport.Builder.class);
   }
 
+  private int bitField0_;
   public static final int TARGET_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object target_ = "";
@@ -140,7 +143,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -152,7 +155,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -163,7 +166,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -175,7 +178,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -202,6 +205,101 @@
     return ageMillis_;
   }
 
+  public static final int CONTENTS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList contents_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @return A list containing the contents.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getContentsList() {
+    return contents_;
+  }
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @return The count of contents.
+   */
+  public int getContentsCount() {
+    return contents_.size();
+  }
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @param index The index of the element to return.
+   * @return The contents at the given index.
+   */
+  public java.lang.String getContents(int index) {
+    return contents_.get(index);
+  }
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the contents at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getContentsBytes(int index) {
+    return contents_.getByteString(index);
+  }
+
+  public static final int STARTED_FIELD_NUMBER = 6;
+  private boolean started_ = false;
+  /**
+   * <pre>
+   * True if the response had started.
+   * </pre>
+   *
+   * <code>bool started = 6;</code>
+   * @return The started.
+   */
+  @java.lang.Override
+  public boolean getStarted() {
+    return started_;
+  }
+
+  public static final int HELD_MILLIS_FIELD_NUMBER = 7;
+  private int heldMillis_ = 0;
+  /**
+   * <pre>
+   * Time from the send to the loss; unset if unknown.
+   * </pre>
+   *
+   * <code>optional uint32 held_millis = 7;</code>
+   * @return Whether the heldMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasHeldMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Time from the send to the loss; unset if unknown.
+   * </pre>
+   *
+   * <code>optional uint32 held_millis = 7;</code>
+   * @return The heldMillis.
+   */
+  @java.lang.Override
+  public int getHeldMillis() {
+    return heldMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -228,6 +326,15 @@
     if (ageMillis_ != 0) {
       output.writeUInt32(4, ageMillis_);
     }
+    for (int i = 0; i < contents_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, contents_.getRaw(i));
+    }
+    if (started_ != false) {
+      output.writeBool(6, started_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(7, heldMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -250,6 +357,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, ageMillis_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < contents_.size(); i++) {
+        dataSize += computeStringSizeNoTag(contents_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getContentsList().size();
+    }
+    if (started_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, started_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(7, heldMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -282,6 +405,15 @@
         .equals(other.getPartsList())) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (!getContentsList()
+        .equals(other.getContentsList())) return false;
+    if (getStarted()
+        != other.getStarted()) return false;
+    if (hasHeldMillis() != other.hasHeldMillis()) return false;
+    if (hasHeldMillis()) {
+      if (getHeldMillis()
+          != other.getHeldMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -303,6 +435,17 @@
     }
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
+    if (getContentsCount() > 0) {
+      hash = (37 * hash) + CONTENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getContentsList().hashCode();
+    }
+    hash = (37 * hash) + STARTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStarted());
+    if (hasHeldMillis()) {
+      hash = (37 * hash) + HELD_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeldMillis();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -402,7 +545,7 @@
   }
   /**
    * <pre>
-   * A call that was lost before its response started.
+   * A call whose target ended the connection.
    * </pre>
    *
    * Protobuf type {@code mustardlane.LostCallReport}
@@ -443,6 +586,10 @@
       parts_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       ageMillis_ = 0;
+      contents_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      started_ = false;
+      heldMillis_ = 0;
       return this;
     }
 
@@ -489,6 +636,19 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        contents_.makeImmutable();
+        result.contents_ = contents_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.started_ = started_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.heldMillis_ = heldMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -526,6 +686,22 @@
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (!other.contents_.isEmpty()) {
+        if (contents_.isEmpty()) {
+          contents_ = other.contents_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureContentsIsMutable();
+          contents_.addAll(other.contents_);
+        }
+        onChanged();
+      }
+      if (other.getStarted() != false) {
+        setStarted(other.getStarted());
+      }
+      if (other.hasHeldMillis()) {
+        setHeldMillis(other.getHeldMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -570,6 +746,21 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              ensureContentsIsMutable();
+              contents_.add(input.readStringRequireUtf8());
+              break;
+            } // case 42
+            case 48: {
+              started_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              heldMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -741,7 +932,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -754,7 +945,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -765,7 +956,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -777,7 +968,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -790,7 +981,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -809,7 +1000,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -827,7 +1018,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -845,7 +1036,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -860,7 +1051,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt; none if the response had started.
      * </pre>
      *
      * <code>repeated string parts = 3;</code>
@@ -922,6 +1113,253 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList contents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureContentsIsMutable() {
+      if (!contents_.isModifiable()) {
+        contents_ = new com.google.protobuf.LazyStringArrayList(contents_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @return A list containing the contents.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getContentsList() {
+      contents_.makeImmutable();
+      return contents_;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @return The count of contents.
+     */
+    public int getContentsCount() {
+      return contents_.size();
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param index The index of the element to return.
+     * @return The contents at the given index.
+     */
+    public java.lang.String getContents(int index) {
+      return contents_.get(index);
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the contents at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getContentsBytes(int index) {
+      return contents_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The contents to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContents(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureContentsIsMutable();
+      contents_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param value The contents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addContents(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureContentsIsMutable();
+      contents_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param values The contents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllContents(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureContentsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, contents_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContents() {
+      contents_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hashes of its whole content.
+     * </pre>
+     *
+     * <code>repeated string contents = 5;</code>
+     * @param value The bytes of the contents to add.
+     * @return This builder for chaining.
+     */
+    public Builder addContentsBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureContentsIsMutable();
+      contents_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private boolean started_ ;
+    /**
+     * <pre>
+     * True if the response had started.
+     * </pre>
+     *
+     * <code>bool started = 6;</code>
+     * @return The started.
+     */
+    @java.lang.Override
+    public boolean getStarted() {
+      return started_;
+    }
+    /**
+     * <pre>
+     * True if the response had started.
+     * </pre>
+     *
+     * <code>bool started = 6;</code>
+     * @param value The started to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStarted(boolean value) {
+
+      started_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if the response had started.
+     * </pre>
+     *
+     * <code>bool started = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStarted() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      started_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int heldMillis_ ;
+    /**
+     * <pre>
+     * Time from the send to the loss; unset if unknown.
+     * </pre>
+     *
+     * <code>optional uint32 held_millis = 7;</code>
+     * @return Whether the heldMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeldMillis() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Time from the send to the loss; unset if unknown.
+     * </pre>
+     *
+     * <code>optional uint32 held_millis = 7;</code>
+     * @return The heldMillis.
+     */
+    @java.lang.Override
+    public int getHeldMillis() {
+      return heldMillis_;
+    }
+    /**
+     * <pre>
+     * Time from the send to the loss; unset if unknown.
+     * </pre>
+     *
+     * <code>optional uint32 held_millis = 7;</code>
+     * @param value The heldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldMillis(int value) {
+
+      heldMillis_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time from the send to the loss; unset if unknown.
+     * </pre>
+     *
+     * <code>optional uint32 held_millis = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldMillis() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      heldMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.LostCallReport)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReportOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/LostCallReportOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -46,7 +46,7 @@
       getPartsList();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -55,7 +55,7 @@
   int getPartsCount();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -65,7 +65,7 @@
   java.lang.String getParts(int index);
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt; none if the response had started.
    * </pre>
    *
    * <code>repeated string parts = 3;</code>
@@ -84,4 +84,74 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @return A list containing the contents.
+   */
+  java.util.List<java.lang.String>
+      getContentsList();
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @return The count of contents.
+   */
+  int getContentsCount();
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @param index The index of the element to return.
+   * @return The contents at the given index.
+   */
+  java.lang.String getContents(int index);
+  /**
+   * <pre>
+   * Hashes of its whole content.
+   * </pre>
+   *
+   * <code>repeated string contents = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the contents at the given index.
+   */
+  com.google.protobuf.ByteString
+      getContentsBytes(int index);
+
+  /**
+   * <pre>
+   * True if the response had started.
+   * </pre>
+   *
+   * <code>bool started = 6;</code>
+   * @return The started.
+   */
+  boolean getStarted();
+
+  /**
+   * <pre>
+   * Time from the send to the loss; unset if unknown.
+   * </pre>
+   *
+   * <code>optional uint32 held_millis = 7;</code>
+   * @return Whether the heldMillis field is set.
+   */
+  boolean hasHeldMillis();
+  /**
+   * <pre>
+   * Time from the send to the loss; unset if unknown.
+   * </pre>
+   *
+   * <code>optional uint32 held_millis = 7;</code>
+   * @return The heldMillis.
+   */
+  int getHeldMillis();
 }
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/QuarantineRecord.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/QuarantineRecord.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Calls whose prompts contain all of these parts are refused. Also stored in the platform's log.
+ * Calls with all of these features are refused. Also stored in the platform's log.
  * </pre>
  *
  * Protobuf type {@code mustardlane.QuarantineRecord}
@@ -60,7 +60,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -72,7 +72,7 @@
   }
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -83,7 +83,7 @@
   }
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -95,7 +95,7 @@
   }
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -299,7 +299,7 @@
   }
   /**
    * <pre>
-   * Calls whose prompts contain all of these parts are refused. Also stored in the platform's log.
+   * Calls with all of these features are refused. Also stored in the platform's log.
    * </pre>
    *
    * Protobuf type {@code mustardlane.QuarantineRecord}
@@ -466,7 +466,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -479,7 +479,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -490,7 +490,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -502,7 +502,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -515,7 +515,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -534,7 +534,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -552,7 +552,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -570,7 +570,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
@@ -585,7 +585,7 @@
     }
     /**
      * <pre>
-     * Ids of the parts.
+     * Ids of parts of prompts, or hashes of the content.
      * </pre>
      *
      * <code>repeated string parts = 1;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/QuarantineRecordOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/QuarantineRecordOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -22,7 +22,7 @@
       getPartsList();
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -31,7 +31,7 @@
   int getPartsCount();
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
@@ -41,7 +41,7 @@
   java.lang.String getParts(int index);
   /**
    * <pre>
-   * Ids of the parts.
+   * Ids of parts of prompts, or hashes of the content.
    * </pre>
    *
    * <code>repeated string parts = 1;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReport.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReport.java
@@ -96,7 +96,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -108,7 +108,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -119,7 +119,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -131,7 +131,7 @@
   }
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -147,7 +147,7 @@
   private int ageMillis_ = 0;
   /**
    * <pre>
-   * Time since the response started.
+   * Time since the response started or was complete.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
@@ -597,7 +597,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -610,7 +610,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -621,7 +621,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -633,7 +633,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -646,7 +646,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -665,7 +665,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -683,7 +683,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -701,7 +701,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -716,7 +716,7 @@
     }
     /**
      * <pre>
-     * Ids of the shared parts of its prompt.
+     * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
      * </pre>
      *
      * <code>repeated string parts = 2;</code>
@@ -737,7 +737,7 @@
     private int ageMillis_ ;
     /**
      * <pre>
-     * Time since the response started.
+     * Time since the response started or was complete.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -749,7 +749,7 @@
     }
     /**
      * <pre>
-     * Time since the response started.
+     * Time since the response started or was complete.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
@@ -765,7 +765,7 @@
     }
     /**
      * <pre>
-     * Time since the response started.
+     * Time since the response started or was complete.
      * </pre>
      *
      * <code>uint32 age_millis = 3;</code>
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReportOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StartedResponseReportOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -34,7 +34,7 @@
       getPartsList();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -43,7 +43,7 @@
   int getPartsCount();
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -53,7 +53,7 @@
   java.lang.String getParts(int index);
   /**
    * <pre>
-   * Ids of the shared parts of its prompt.
+   * Ids of the shared parts of its prompt, and hashes of its content once it was complete.
    * </pre>
    *
    * <code>repeated string parts = 2;</code>
@@ -65,7 +65,7 @@
 
   /**
    * <pre>
-   * Time since the response started.
+   * Time since the response started or was complete.
    * </pre>
    *
    * <code>uint32 age_millis = 3;</code>
