--- a/mustardlane-core/src/main/java/org/mustardlane/core/model/common/RendezvousHash.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/model/common/RendezvousHash.java
@@ -28,7 +28,16 @@
 	 * @return the hash
 	 */
 	public static long hash(String text) {
-		return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+		return hash(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Hashes bytes to 64 bits, with the same result in every process.
+	 * @param bytes the bytes
+	 * @return the hash
+	 */
+	public static long hash(byte[] bytes) {
+		return MurmurHash3.hash128x64(bytes)[0];
 	}
 
 	/**
--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CallFeature.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CallFeature.java
@@ -1,7 +1,5 @@
 package org.mustardlane.core.quarantine;
 
-import org.apache.commons.codec.digest.MurmurHash3;
-
 import org.mustardlane.core.model.common.PromptPartId;
 
 /**
@@ -37,11 +35,11 @@
 
 	/**
 	 * Returns the feature that all calls with the same content share.
-	 * @param content all that makes two calls the same for a target
-	 * @return the feature, which contains only a hash of the content
+	 * @param contentHash hash of all that makes two calls the same for a target
+	 * @return the feature
 	 */
-	public static CallFeature ofContent(byte[] content) {
-		return new CallFeature(CONTENT_PREFIX + Long.toHexString(MurmurHash3.hash128x64(content)[0]));
+	public static CallFeature ofContent(long contentHash) {
+		return new CallFeature(CONTENT_PREFIX + Long.toHexString(contentHash));
 	}
 
 	/**
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -1,6 +1,5 @@
 package org.mustardlane.core.quarantine;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -10,6 +9,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.model.common.RendezvousHash;
 import org.mustardlane.core.model.common.TargetId;
 
 import static org.testng.Assert.assertEquals;
@@ -196,7 +196,7 @@
 	}
 
 	private static CallFeature content(String text) {
-		return CallFeature.ofContent(text.getBytes(StandardCharsets.UTF_8));
+		return CallFeature.ofContent(RendezvousHash.hash(text));
 	}
 
 	private static Optional<Set<CallFeature>> contentCause(String text) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallFeatures.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallFeatures.java
@@ -1,10 +1,9 @@
 package org.mustardlane.gateway.exchange;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
+import org.mustardlane.core.model.common.RendezvousHash;
 import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.gateway.front.Call;
 
@@ -32,21 +31,19 @@
 	 */
 	static CallFeatures of(Call call) {
 		List<CallFeature> promptParts = call.head().sharedParts().stream().map(CallFeature::ofPromptPart).toList();
-		ByteArrayOutputStream content = new ByteArrayOutputStream();
-		content.writeBytes(describe(call).getBytes(StandardCharsets.UTF_8));
-		content.writeBytes(call.body());
+		long contentHash = RendezvousHash.score(RendezvousHash.hash(describe(call)), RendezvousHash.hash(call.body()));
 		List<CallFeature> contents = new ArrayList<>();
-		contents.add(CallFeature.ofContent(content.toByteArray()));
-		call.head().prefix().ifPresent((prefix) -> {
-			content.writeBytes(Long.toString(prefix.hash()).getBytes(StandardCharsets.UTF_8));
-			contents.add(CallFeature.ofContent(content.toByteArray()));
-		});
+		contents.add(CallFeature.ofContent(contentHash));
+		call.head()
+			.prefix()
+			.ifPresent(
+					(prefix) -> contents.add(CallFeature.ofContent(RendezvousHash.score(contentHash, prefix.hash()))));
 		return new CallFeatures(promptParts, contents);
 	}
 
 	private static String describe(Call call) {
 		return String.join("\n", call.request().method().name(), call.head().host(), call.request().uri(),
-				call.head().apiKey().orElse(""), "");
+				call.head().apiKey().orElse(""));
 	}
 
 	/**
