Do not send a begun stream on once its content is refused

A stream whose answer had begun skipped the check before it was sent to a further target, as a begun answer clears the parts of its prompt; it does not clear its content. Found by reading. The new test failed before (six sends in place of five) and passes.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -39,11 +39,17 @@
 	}
 
 	/**
-	 * Returns the quarantine that applies to the call while its response has not started.
+	 * Returns the quarantine that applies to the call before it is sent. Once its
+	 * response has started, the parts of its prompt are no cause of a crash.
 	 * @return the quarantine, or empty if the call may be sent
 	 */
 	Optional<QuarantineMatch> findQuarantine() {
-		return this.responseStarted ? Optional.empty() : this.context.quarantine().find(this.features.all());
+		List<CallFeature> suspects = this.responseStarted ? this.features.contents() : this.features.all();
+		return this.context.quarantine().find(suspects);
+	}
+
+	boolean isResponseStarted() {
+		return this.responseStarted;
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -22,6 +22,7 @@
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.quarantine.QuarantineMatch;
 import org.mustardlane.gateway.report.CallOutcome;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.Dispatch;
@@ -107,10 +108,14 @@
 	}
 
 	private void dispatch() {
-		endIfQuarantined();
 		if (this.ended) {
 			return;
 		}
+		Optional<QuarantineMatch> quarantine = this.evidence.findQuarantine();
+		if (quarantine.isPresent()) {
+			endAsQuarantined(quarantine.get());
+			return;
+		}
 		Optional<TargetEntry> target = this.callTargets.choose();
 		if (target.isEmpty()) {
 			long defaultDelayMillis = RetryAfter.refusalDelayMillis(this.context.nextRandom());
@@ -124,17 +129,18 @@
 	 * Ends the call if it is quarantined and its response has not started.
 	 */
 	void endIfQuarantined() {
-		if (this.ended) {
-			return;
+		if (!this.ended && !this.evidence.isResponseStarted()) {
+			this.evidence.findQuarantine().ifPresent(this::endAsQuarantined);
+		}
+	}
+
+	private void endAsQuarantined(QuarantineMatch quarantine) {
+		if (this.currentAttempt.filter(Attempt::isSent).isPresent()) {
+			this.possibleExecutions++;
 		}
-		this.evidence.findQuarantine().ifPresent((quarantine) -> {
-			if (this.currentAttempt.filter(Attempt::isSent).isPresent()) {
-				this.possibleExecutions++;
-			}
-			this.currentAttempt.ifPresent(Attempt::cancel);
-			this.currentAttempt = Optional.empty();
-			giveUp(CallRouter.quarantineReason(quarantine), quarantine.remainingMillis());
-		});
+		this.currentAttempt.ifPresent(Attempt::cancel);
+		this.currentAttempt = Optional.empty();
+		giveUp(CallRouter.quarantineReason(quarantine), quarantine.remainingMillis());
 	}
 
 	private void sendTo(TargetEntry target) {
