--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/AddressPublisher.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/AddressPublisher.java
@@ -77,12 +77,17 @@
 	}
 
 	/**
-	 * Stores the address again if the log has lost it.
+	 * Stores the address again if the log has lost it, or states an earlier one of this
+	 * VM.
 	 * @param snapshot newest record of each router
 	 */
 	void checkSnapshot(List<KeyedRecord> snapshot) {
-		boolean isListed = snapshot.stream().anyMatch((logRecord) -> logRecord.key().equals(this.ownVm.value()));
-		if (isListed || this.storedAddress.isEmpty()) {
+		Optional<String> listedAddress = snapshot.stream()
+			.filter((logRecord) -> logRecord.key().equals(this.ownVm.value()))
+			.flatMap((logRecord) -> logRecord.body().stream())
+			.map((body) -> new String(body, StandardCharsets.UTF_8))
+			.findFirst();
+		if (this.storedAddress.isEmpty() || this.storedAddress.equals(listedAddress)) {
 			return;
 		}
 		String address = this.storedAddress.get();
