Refuse a content with its prompt rather than all calls that differ in their prompts only

Where callers send the prompt in a header and the same body, the content without the prompt explains at least as many crashes as that of the crashing request, and all of these calls were refused. Found by reading; the new case failed before and passes.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CauseFinder.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CauseFinder.java
@@ -76,8 +76,11 @@
 
 	// A call that another one has taken along may be lost as often as that one at first.
 	private static Optional<Candidate> decisive(List<Candidate> candidates) {
-		Optional<Candidate> best = candidates.stream().max(Candidate.BY_CRASHES);
-		return best.filter((candidate) -> candidate.crashCount() > MIN_CRASHES || candidates.stream()
+		List<Candidate> specific = candidates.stream()
+			.filter((candidate) -> candidates.stream().noneMatch((other) -> other.isMoreSpecificThan(candidate)))
+			.toList();
+		Optional<Candidate> best = specific.stream().max(Candidate.BY_CRASHES);
+		return best.filter((candidate) -> candidate.crashCount() > MIN_CRASHES || specific.stream()
 			.noneMatch((other) -> other.crashCount() == candidate.crashCount()
 					&& !other.features().equals(candidate.features())));
 	}
@@ -134,6 +137,10 @@
 			return new Candidate(common, countSeparateCrashes(ofFeature));
 		}
 
+		private boolean isMoreSpecificThan(Candidate other) {
+			return this.features.size() > other.features.size() && this.features.containsAll(other.features);
+		}
+
 		// A call that was sent only after the last crash cannot have met the same event.
 		private static int countSeparateCrashes(List<Suspicion> ofFeature) {
 			List<Suspicion> inOrder = ofFeature.stream()
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -278,6 +278,23 @@
 		assertEquals(findCause(), Optional.empty());
 	}
 
+	@Test
+	public void contentWithItsPromptIsRefusedRatherThanAllCallsThatDifferInTheirPromptsOnly() {
+		for (int crash = 1; crash <= 3; crash++) {
+			loseContentWithPrompt("t-" + crash, "dead", crash * 1000);
+			loseContentWithPrompt("t-" + crash, "sound" + crash, crash * 1000);
+		}
+		loseContentWithPrompt("t-9", "sound9", 4000);
+		startOthers(4500);
+		assertEquals(findCause(), Optional.of(Set.of(content("same"), content("same dead"))));
+	}
+
+	private void loseContentWithPrompt(String target, String prompt, long lostAtMillis) {
+		LostCall call = new LostCall(new TargetId(target), "r-" + this.requestCount++, List.of(),
+				List.of(content("same"), content("same " + prompt)), false, lostAtMillis - 100, lostAtMillis);
+		assertTrue(this.evidence.addLostCall(call, lostAtMillis));
+	}
+
 	@Test
 	public void contentIsRefusedRatherThanAPartThatOtherPromptsShare() {
 		for (int crash = 1; crash <= 3; crash++) {
