--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/package-info.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Finds parts of prompts that crash engines, and refuses the calls that contain them.
+ * Finds the features of calls that crash targets, and refuses calls that have them.
  */
 @NullMarked
 package org.mustardlane.core.quarantine;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/package-info.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Keeps calls away from engines whose prompts crash them, on all routers alike.
+ * Keeps calls away from targets that they crash, on all routers alike.
  */
 @NullMarked
 package org.mustardlane.gateway.quarantine;
