--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -28,6 +28,8 @@
 
 	private final List<AutoCloseable> resources = new ArrayList<>();
 
+	private volatile boolean ended;
+
 	private final boolean troubled = !"0".equals(System.getenv("TROUBLE"));
 
 	private Case(Path recordFile) throws IOException {
@@ -54,6 +56,7 @@
 				code = COULD_NOT_RUN;
 			}
 			current.note("exit code " + code);
+			current.ended = true;
 			current.close();
 		}
 		catch (Throwable ex) {
@@ -83,6 +86,9 @@
 	}
 
 	synchronized void note(String text) {
+		if (this.ended) {
+			return;
+		}
 		this.record.println(String.format("%7d ms  %s", now(), text));
 	}
 
--- a/review/standins/Router.java
+++ b/review/standins/Router.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -20,6 +21,12 @@
 
 	private static final List<String> KEPT_VARIABLES = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int LAST_PORT = 32_000;
+
+	private static final int MAX_SEEDS = 3;
+
 	private static final int START_MILLIS = 15_000;
 
 	private final Case current;
@@ -47,7 +54,9 @@
 		for (int index = 0; index < zones.length; index++) {
 			int[] own = { ports[4 * index], ports[4 * index + 1], ports[4 * index + 2], ports[4 * index + 3] };
 			routers.add(current.closeAtEnd(new Router(current, "front-" + zones[index] + "-1", zones[index], own)));
-			seeds.add("\"127.0.0.1:" + own[2] + "\"");
+			if (index < MAX_SEEDS) {
+				seeds.add("\"127.0.0.1:" + own[2] + "\"");
+			}
 		}
 		for (Router router : routers) {
 			router.launch(storePort, String.join(",", seeds), List.of(zones));
@@ -58,17 +67,21 @@
 		return routers;
 	}
 
-	private static int[] freePorts(int count) throws IOException {
-		List<ServerSocket> sockets = new ArrayList<>();
-		int[] ports = new int[count];
-		for (int index = 0; index < count; index++) {
-			sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-			ports[index] = sockets.get(index).getLocalPort();
-		}
-		for (ServerSocket socket : sockets) {
-			socket.close();
+	/** Free ports below those that the system gives to outgoing connections. */
+	private static int[] freePorts(int count) {
+		List<Integer> ports = new ArrayList<>();
+		while (ports.size() < count) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+				if (!ports.contains(socket.getLocalPort())) {
+					ports.add(port);
+				}
+			}
+			catch (IOException ex) {
+				// The port is in use.
+			}
 		}
-		return ports;
+		return ports.stream().mapToInt(Integer::intValue).toArray();
 	}
 
 	private void launch(int storePort, String seeds, List<String> zones) throws IOException {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -19,6 +19,8 @@
 
 	private final Map<String, List<byte[]>> topics = new HashMap<>();
 
+	private final Map<String, String> beats = new HashMap<>();
+
 	private final Listener listener;
 
 	Store(Case current) throws IOException {
@@ -38,11 +40,26 @@
 		encoded.putInt(1 + keyBytes.length + valueBytes.length).put((byte) keyBytes.length).put(keyBytes);
 		encoded.put(valueBytes);
 		recordsOf(topic).add(encoded.array());
+		this.beats.put(key, withoutCount(value));
 		notifyAll();
 		this.current.note("store acknowledges " + topic + "/" + key + " = " + (value.isEmpty() ? "(removed)" : value));
 		return this.current.now();
 	}
 
+	/**
+	 * Takes a beat of a server: the record is written anew only if more than its count has changed.
+	 */
+	synchronized void beat(String key, String value) {
+		String newest = this.beats.get(key);
+		if (!withoutCount(value).equals(newest)) {
+			put("keyed.servers", key, value);
+		}
+	}
+
+	private static String withoutCount(String entry) {
+		return entry.replaceAll("\"seq\":\\d+", "");
+	}
+
 	private List<byte[]> recordsOf(String topic) {
 		return this.topics.computeIfAbsent(topic, (name) -> new ArrayList<>());
 	}
