--- /dev/null
+++ b/review/standins/FrozenPipeline.java
@@ -0,0 +1,103 @@
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One of three routers freezes for a moment while requests of kept connections are in progress.
+ */
+public final class FrozenPipeline {
+
+	private static final int CONNECTIONS = 8;
+
+	private static final int ROUNDS = 3;
+
+	private static final int WORK_MILLIS = 1000;
+
+	public static void main(String[] arguments) {
+		Case.run(arguments, FrozenPipeline::run);
+	}
+
+	private static int run(Case current) throws Exception {
+		Store store = current.closeAtEnd(new Store(current));
+		Target target = new Target(current, "i-1", "svc", "zone-a", (request, exchange) -> {
+			Case.sleep(WORK_MILLIS);
+			exchange.writeSuccess(request, "i-1", "answer to " + request.header("X-Request-Id") + " with "
+					+ request.body().length + " bytes");
+		});
+		store.put("keyed.op", "config", new Configuration(1).route("/work/", "idempotent", "svc", 5000, 2000, 2).service("svc").toString());
+		store.put("keyed.servers", target.id(), target.entry(target.port(), "ready"));
+		Router router = Router.start(current, store.port(), "zone-a", "zone-b", "zone-c").get(0);
+		Case.sleep(4000);
+		int wrong = 0;
+		for (int round = 0; round < ROUNDS; round++) {
+			wrong += playRound(current, router, round);
+			Case.sleep(3500);
+		}
+		current.note("answers that belong to another request: " + wrong);
+		return (wrong > 0) ? Case.BROKEN : Case.HELD;
+	}
+
+	private static int playRound(Case current, Router router, int round) throws Exception {
+		List<HttpExchange> connections = new ArrayList<>();
+		for (int index = 0; index < CONNECTIONS; index++) {
+			Socket socket = new Socket("127.0.0.1", router.port());
+			socket.setTcpNoDelay(true);
+			socket.setSoTimeout(8000);
+			connections.add(new HttpExchange(socket));
+		}
+		sendAll(current, connections, round, 1);
+		Case.sleep(100);
+		sendAll(current, connections, round, 2);
+		Case.sleep(100);
+		if (current.isTroubled()) {
+			router.signal("STOP");
+		}
+		// The servers answer the first requests now.
+		Case.sleep(WORK_MILLIS + 100);
+		sendAll(current, connections, round, 3);
+		Case.sleep(300);
+		if (current.isTroubled()) {
+			router.signal("CONT");
+		}
+		int wrong = 0;
+		for (int index = 0; index < CONNECTIONS; index++) {
+			wrong += readAll(current, connections.get(index), round, index);
+		}
+		return wrong;
+	}
+
+	private static String requestId(int round, int connection, int number) {
+		return "r" + round + "-c" + connection + "-" + number;
+	}
+
+	private static void sendAll(Case current, List<HttpExchange> connections, int round, int number) throws IOException {
+		for (int index = 0; index < connections.size(); index++) {
+			String id = requestId(round, index, number);
+			current.note("client sends " + id);
+			connections.get(index).write(Client.head("GET", "/work/" + id, id, 5000, 0, "").getBytes(StandardCharsets.ISO_8859_1));
+		}
+	}
+
+	private static int readAll(Case current, HttpExchange connection, int round, int index) throws IOException {
+		int wrong = 0;
+		try {
+			for (int number = 1; number <= 3; number++) {
+				String expected = requestId(round, index, number);
+				HttpMessage answer = connection.read();
+				boolean isWrong = answer.status() == 200 && !answer.header("X-Request-Id").equals(expected);
+				wrong += isWrong ? 1 : 0;
+				current.note("client awaits the answer to " + expected + ", gets status " + answer.status() + " for "
+						+ answer.header("X-Request-Id") + " '" + new String(answer.body(), StandardCharsets.ISO_8859_1)
+						+ "'" + (isWrong ? " WRONG" : ""));
+			}
+		}
+		catch (IOException ex) {
+			current.note("client on connection " + index + ": " + ex);
+		}
+		connection.socket().close();
+		return wrong;
+	}
+
+}
