--- a/review/further/DarkCrash.java
+++ b/review/DarkCrash.java
@@ -51,7 +51,7 @@
 					(request, exchange) -> serve(self[0], request, exchange));
 			targets.add(self[0]);
 		}
-		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/work/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
+		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/job/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
 		for (Target target : targets) {
 			store.put(Names.SERVERS_TOPIC, target.id(), target.entry(target.port(), "ready"));
 		}
@@ -64,7 +64,7 @@
 		for (int number = 0; number < REPEATS; number++) {
 			Router router = routers.get(number % routers.size());
 			String id = "crashing-" + number;
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/crashing", id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/crashing", id, 1000, 0, ""), new byte[0], 1000);
 			this.current.note("client " + id + " at " + router.name() + ": " + answer.brief());
 			Case.sleep(PAUSE_MILLIS);
 		}
@@ -75,7 +75,7 @@
 	}
 
 	private void serve(Target self, HttpMessage request, HttpExchange exchange) throws IOException {
-		if (!this.current.isTroubled() || !request.target().equals("/work/crashing")) {
+		if (!this.current.isTroubled() || !request.target().equals("/job/crashing")) {
 			Case.sleep(20);
 			exchange.writeSuccess(request, self.id(), self.id());
 			return;
@@ -95,7 +95,7 @@
 	private void askSoundly(Router router) {
 		for (int number = 0;; number++) {
 			String id = router.name() + "-sound-" + number;
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/sound" + number, id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/sound" + number, id, 1000, 0, ""), new byte[0], 1000);
 			if (answer.status() == 200) {
 				this.soundAnswers.incrementAndGet();
 			}
--- a/review/standins/FrozenPipeline.java
+++ b/review/FrozenPipeline.java
@@ -30,7 +30,7 @@
 			exchange.writeSuccess(request, "i-1", "answer to " + request.header("X-Request-Id") + " with "
 					+ request.body().length + " bytes");
 		});
-		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/work/", "idempotent", "svc", 5000, 2000, 2).service("svc").toString());
+		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/job/", "idempotent", "svc", 5000, 2000, 2).service("svc").toString());
 		store.put(Names.SERVERS_TOPIC, target.id(), target.entry(target.port(), "ready"));
 		Router router = Router.start(current, store.port(), "zone-a", "zone-b", "zone-c").get(0);
 		Case.sleep(4000);
@@ -63,7 +63,7 @@
 		for (int index = 0; index < CONNECTIONS; index++) {
 			String id = requestId(ROUNDS, index, 2);
 			current.note("client sends " + id + " with the first chunk of its body");
-			connections.get(index).write(Client.head("POST", "/work/" + id, id, 8000, 0, "Transfer-Encoding: chunked\r\n")
+			connections.get(index).write(Client.head("POST", "/job/" + id, id, 8000, 0, "Transfer-Encoding: chunked\r\n")
 					+ "6\r\nfirst,\r\n");
 		}
 		Case.sleep(100);
@@ -124,7 +124,7 @@
 		for (int index = 0; index < connections.size(); index++) {
 			String id = requestId(round, index, number);
 			current.note("client sends " + id);
-			connections.get(index).write(Client.head("GET", "/work/" + id, id, 5000, 0, "").getBytes(StandardCharsets.ISO_8859_1));
+			connections.get(index).write(Client.head("GET", "/job/" + id, id, 5000, 0, "").getBytes(StandardCharsets.ISO_8859_1));
 		}
 	}
 
--- a/review/standins/NestedEntry.java
+++ b/review/NestedEntry.java
@@ -27,7 +27,7 @@
 		Store store = current.closeAtEnd(new Store(current));
 		Target leaving = new Target(current, "i-leaving", "svc", "zone-a");
 		Target staying = new Target(current, "i-staying", "svc", "zone-b");
-		Configuration configuration = new Configuration(1).route("/work/", "idempotent", "svc", 1000, 200, 2).service("svc");
+		Configuration configuration = new Configuration(1).route("/job/", "idempotent", "svc", 1000, 200, 2).service("svc");
 		for (int number = 0; number < IDLE_ROUTES; number++) {
 			configuration.route("/idle" + number + "/", "idempotent", "svc", 1000, 200, 2);
 		}
@@ -72,7 +72,7 @@
 	private static void press(Case current, Router router, AtomicInteger refused) {
 		for (int number = 0;; number++) {
 			String id = router.name() + "-" + number;
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/x", id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/x", id, 1000, 0, ""), new byte[0], 1000);
 			if (answer.status() != 200) {
 				refused.incrementAndGet();
 			}
--- a/review/further/QuietCrash.java
+++ b/review/QuietCrash.java
@@ -34,7 +34,7 @@
 			String id = "i-" + number;
 			Target[] self = new Target[1];
 			self[0] = new Target(current, id, "svc", "zone-" + "ab".charAt(number % 2), (request, exchange) -> {
-				if (!current.isTroubled() || !request.target().equals("/work/poison")) {
+				if (!current.isTroubled() || !request.target().equals("/job/poison")) {
 					exchange.writeSuccess(request, id, id);
 					return;
 				}
@@ -57,7 +57,7 @@
 			});
 			targets.add(self[0]);
 		}
-		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/work/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
+		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/job/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
 		for (Target target : targets) {
 			store.put(Names.SERVERS_TOPIC, target.id(), target.entry(target.port(), "ready"));
 		}
@@ -66,7 +66,7 @@
 		for (int number = 0; number < REPEATS; number++) {
 			Router router = routers.get(number % routers.size());
 			String id = "poison-" + number;
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/poison", id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/poison", id, 1000, 0, ""), new byte[0], 1000);
 			current.note("client " + id + " at " + router.name() + ": " + answer.brief());
 			Case.sleep(PAUSE_MILLIS);
 		}
--- a/review/standins/ResetAnswer.java
+++ b/review/ResetAnswer.java
@@ -24,7 +24,7 @@
 
 	private static int run(Case current) throws Exception {
 		Store store = current.closeAtEnd(new Store(current));
-		Configuration configuration = new Configuration(1).route("/work/", "idempotent", "svc", 10_000, 2000, 1).service("svc");
+		Configuration configuration = new Configuration(1).route("/job/", "idempotent", "svc", 10_000, 2000, 1).service("svc");
 		store.put(Names.CONFIG_TOPIC, "config", configuration.toString());
 		for (int index = 1; index <= SERVERS; index++) {
 			boolean isFaulty = current.isTroubled() && index == 1;
@@ -36,7 +36,7 @@
 		int broken = 0;
 		for (int number = 0; number < REQUESTS; number++) {
 			String id = "r-" + number;
-			Client.Answer answer = Client.send(router.port(), Client.head("POST", "/work/x", id, 10_000, BODY_BYTES, ""),
+			Client.Answer answer = Client.send(router.port(), Client.head("POST", "/job/x", id, 10_000, BODY_BYTES, ""),
 					new byte[BODY_BYTES], 10_000);
 			boolean isShort = answer.status() == 200 && answer.body().length < PIECE.length() * PIECES;
 			broken += isShort ? 1 : 0;
--- a/review/standins/SilentConfig.java
+++ b/review/SilentConfig.java
@@ -49,7 +49,7 @@
 	}
 
 	private static String configuration(long version, String service, boolean added) {
-		Configuration configuration = new Configuration(version).route("/work/", "idempotent", service, 1000, 200, 2);
+		Configuration configuration = new Configuration(version).route("/job/", "idempotent", service, 1000, 200, 2);
 		if (added) {
 			configuration.route("/added/", "idempotent", "svc-b", 1000, 200, 2);
 		}
@@ -60,7 +60,7 @@
 		for (int number = 0; current.now() < fromMillis + 8500; number++) {
 			String id = router.name() + "-" + number;
 			long sentAt = current.now();
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/x", id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/x", id, 1000, 0, ""), new byte[0], 1000);
 			boolean isLate = sentAt > boundAt && answer.text().equals("i-before");
 			if (isLate) {
 				late.incrementAndGet();
--- a/review/further/SilentDrain.java
+++ b/review/SilentDrain.java
@@ -25,7 +25,7 @@
 		Target staying = new Target(current, "i-staying", "svc", "zone-b");
 		Proxy toLeaving = current.closeAtEnd(new Proxy(leaving.port()));
 		Proxy toStaying = current.closeAtEnd(new Proxy(staying.port()));
-		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/work/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
+		store.put(Names.CONFIG_TOPIC, "config", new Configuration(1).route("/job/", "idempotent", "svc", 1000, 200, 2).service("svc").toString());
 		store.put(Names.SERVERS_TOPIC, leaving.id(), leaving.entry(toLeaving.port(), "ready"));
 		store.put(Names.SERVERS_TOPIC, staying.id(), staying.entry(toStaying.port(), "ready"));
 		List<Router> routers = Router.start(current, toStore.port(), "zone-a", "zone-b");
@@ -53,7 +53,7 @@
 		for (int number = 0; current.now() < fromMillis + 11_500; number++) {
 			String id = router.name() + "-" + number;
 			long sentAt = current.now();
-			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/work/x", id, 1000, 0, ""), new byte[0], 1000);
+			Client.Answer answer = Client.send(router.port(), Client.head("GET", "/job/x", id, 1000, 0, ""), new byte[0], 1000);
 			current.note("client " + id + " sent at " + sentAt + ": " + answer.brief());
 			Case.sleep(50);
 		}
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-javac -Xlint:all -d target/review review/standins/*.java review/further/*.java
-cp review/standins/names.properties target/review/
+javac -Xlint:all -d target/review review/*.java
+cp review/names.properties target/review/
