--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -41,6 +41,7 @@
 import org.mustardlane.gateway.quarantine.QuarantineRecords;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
+import org.mustardlane.gateway.report.GuardedTask;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.report.LogRateLimiter;
 import org.mustardlane.gateway.target.TargetClient;
@@ -205,8 +206,8 @@
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
 		this.loop.execute(this.quarantinesFollower::start);
-		this.loop.scheduleAtFixedRate(this::runMaintenanceSafely, MAINTENANCE_INTERVAL_MILLIS,
-				MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(new GuardedTask("maintenance", this::runMaintenance, this.log),
+				MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		// Callers are waiting after a power loss, so everything that serves them starts
 		// first.
 		if (awaitRoutingState()) {
@@ -272,16 +273,6 @@
 		HealthServer.start(address, this.eventLoops, this.settings.readyPath(), this.metrics::scrape, this::isReady);
 	}
 
-	// An exception would end the periodic task.
-	private void runMaintenanceSafely() {
-		try {
-			runMaintenance();
-		}
-		catch (RuntimeException ex) {
-			this.log.warn(LogEvent.UNEXPECTED_ERROR, "task", "maintenance", "reason", ex);
-		}
-	}
-
 	private void runMaintenance() {
 		this.loopLag.tick(this.clock.nowMillis());
 		this.routingState.expireTargets();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontServer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontServer.java
@@ -22,6 +22,7 @@
 import org.mustardlane.core.route.RequestLimits;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.GuardedTask;
 import org.mustardlane.gateway.wire.WireDialect;
 
 /**
@@ -75,8 +76,8 @@
 			throw new IOException("Cannot listen for callers at " + address, bindFuture.cause());
 		}
 		this.serverChannel = bindFuture.channel();
-		this.loop.scheduleAtFixedRate(this::closeTimedOutConnections, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(new GuardedTask("timeouts", this::closeTimedOutConnections, this.context.log()),
+				SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private ServerBootstrap bootstrap() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutersListener.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 
 import org.mustardlane.core.directory.LogPosition;
@@ -19,6 +20,8 @@
 
 	private final DecisionLog log;
 
+	private final RecordApplier recordApplier;
+
 	/**
 	 * Creates a listener.
 	 * @param addressConsumer accepts the VM name and the address of each router
@@ -29,6 +32,7 @@
 		this.addressConsumer = addressConsumer;
 		this.ownAddress = ownAddress;
 		this.log = log;
+		this.recordApplier = new RecordApplier(log);
 	}
 
 	@Override
@@ -39,11 +43,10 @@
 
 	@Override
 	public void onRecords(List<KeyedRecord> records) {
-		for (KeyedRecord logRecord : records) {
-			logRecord.body()
-				.ifPresent((body) -> this.addressConsumer.accept(logRecord.key(),
-						new String(body, StandardCharsets.UTF_8)));
-		}
+		records.forEach((logRecord) -> this.recordApplier.apply(logRecord, (body) -> {
+			this.addressConsumer.accept(logRecord.key(), new String(body, StandardCharsets.UTF_8));
+			return Optional.empty();
+		}));
 	}
 
 	@Override
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -19,7 +19,6 @@
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogEvent;
-import org.mustardlane.gateway.wire.MalformedRecordException;
 import org.mustardlane.gateway.wire.RecordDecoder;
 
 /**
@@ -48,6 +47,8 @@
 
 	private final DecisionLog log;
 
+	private final RecordApplier recordApplier;
+
 	private final MonotonicClock clock;
 
 	private final TargetDirectory targets = new TargetDirectory(REMOVAL_GRACE_MILLIS);
@@ -77,6 +78,7 @@
 	public RoutingState(RecordDecoder decoder, DecisionLog log, MonotonicClock clock, Runnable onComplete) {
 		this.decoder = decoder;
 		this.log = log;
+		this.recordApplier = new RecordApplier(log);
 		this.clock = clock;
 		this.onComplete = onComplete;
 	}
@@ -88,17 +90,8 @@
 	 * @param source source of the record, for the log
 	 */
 	public void applyRoutes(KeyedRecord logRecord, String source) {
-		if (logRecord.body().isEmpty()) {
-			return;
-		}
-		try {
-			Optional<RouteTable> decodedRoutes = this.decoder.decodeRoutes(logRecord.key(), logRecord.body().get());
-			decodedRoutes.ifPresent((table) -> activateRoutes(table, logRecord, source));
-		}
-		catch (MalformedRecordException | RuntimeException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
-					"offset", logRecord.position().offset(), "reason", ex);
-		}
+		this.recordApplier.apply(logRecord, (body) -> this.decoder.decodeRoutes(logRecord.key(), body))
+			.ifPresent((table) -> activateRoutes(table, logRecord, source));
 	}
 
 	private void activateRoutes(RouteTable table, KeyedRecord logRecord, String source) {
@@ -119,15 +112,15 @@
 	 * @param end end of the topic when the snapshot was read
 	 */
 	public void replaceTargets(List<KeyedRecord> snapshot, LogPosition end) {
-		this.targetsLoaded = true;
 		Set<String> snapshotKeys = snapshot.stream().map(KeyedRecord::key).collect(Collectors.toSet());
 		this.targetRecords.entrySet()
 			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey()) && end.isAfter(entry.getValue().position()));
 		storeTargetRecords(snapshot);
-		notifyIfComplete();
 		List<DirectoryRecord> decodedRecords = decodeTargets(snapshot);
 		logOutdated(decodedRecords);
 		logChanges(this.targets.applySnapshot(decodedRecords, end, this.clock.nowMillis()));
+		this.targetsLoaded = true;
+		notifyIfComplete();
 	}
 
 	/**
@@ -180,10 +173,10 @@
 	 */
 	public void applyRelayedTargets(List<KeyedRecord> relayedRecords) {
 		if (!relayedRecords.isEmpty()) {
-			this.targetsLoaded = true;
-			notifyIfComplete();
 			storeTargetRecords(relayedRecords);
 			logChanges(this.targets.applyRelayed(decodeTargets(relayedRecords), this.clock.nowMillis()));
+			this.targetsLoaded = true;
+			notifyIfComplete();
 		}
 	}
 
@@ -266,17 +259,8 @@
 	}
 
 	private Optional<TargetEntry> decodeTarget(KeyedRecord logRecord) {
-		if (logRecord.body().isEmpty()) {
-			return Optional.empty();
-		}
-		try {
-			return Optional.of(this.decoder.decodeTarget(logRecord.key(), logRecord.body().get()));
-		}
-		catch (MalformedRecordException | RuntimeException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
-					"offset", logRecord.position().offset(), "reason", ex);
-			return Optional.empty();
-		}
+		return this.recordApplier.apply(logRecord,
+				(body) -> Optional.of(this.decoder.decodeTarget(logRecord.key(), body)));
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
@@ -99,7 +100,7 @@
 	}
 
 	private void readSnapshotPage(Optional<String> afterKey) {
-		handleResult(this.recordLog.readSnapshot(this.topic, afterKey),
+		request(() -> this.recordLog.readSnapshot(this.topic, afterKey),
 				(page) -> addSnapshotPage(page, afterKey.isEmpty()));
 	}
 
@@ -136,8 +137,8 @@
 	}
 
 	private void readNext() {
-		handleResult(this.recordLog.read(this.topic, this.next.orElseThrow().offset(), this.readPolicy.maxWaitMillis()),
-				this::handleBatch);
+		request(() -> this.recordLog.read(this.topic, this.next.orElseThrow().offset(),
+				this.readPolicy.maxWaitMillis()), this::handleBatch);
 	}
 
 	private void handleBatch(RecordBatch batch) {
@@ -164,9 +165,9 @@
 		}
 	}
 
-	private <T> void handleResult(CompletionStage<T> stage, Consumer<T> onSuccess) {
+	private <T> void request(Supplier<CompletionStage<T>> read, Consumer<T> onSuccess) {
 		int generationAtStart = this.generation;
-		stage.whenComplete((value, failure) -> this.loop.execute(() -> {
+		runSafely(() -> read.get().whenComplete((value, failure) -> this.loop.execute(() -> {
 			if (generationAtStart != this.generation) {
 				return;
 			}
@@ -174,29 +175,31 @@
 				handleFailure(String.valueOf(failure.getMessage()));
 			}
 			else {
-				handleSafely(value, onSuccess);
+				runSafely(() -> onSuccess.accept(value));
 			}
-		}));
+		})));
 	}
 
-	// Without this, an unexpected exception would end the chain of reads.
-	private <T> void handleSafely(T value, Consumer<T> onSuccess) {
+	// Whatever is thrown, errors included, must not end the chain of reads.
+	private void runSafely(Runnable step) {
 		try {
-			onSuccess.accept(value);
+			step.run();
 		}
-		catch (RuntimeException ex) {
+		catch (Throwable ex) {
+			// Ignores what the step has started before it failed.
+			this.generation++;
 			handleFailure("unexpected exception: " + ex);
 		}
 	}
 
 	private void handleFailure(String reason) {
+		int delayMillis = ThreadLocalRandom.current().nextInt(this.backoffMillis / 2, this.backoffMillis + 1);
+		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
+		runLater(delayMillis, this::start);
 		if (!this.unavailable) {
 			this.unavailable = true;
 			this.listener.onUnavailable(reason);
 		}
-		int delayMillis = ThreadLocalRandom.current().nextInt(this.backoffMillis / 2, this.backoffMillis + 1);
-		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
-		runLater(delayMillis, this::start);
 	}
 
 	private void runLater(int delayMillis, Runnable task) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -23,6 +23,7 @@
 import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.GuardedTask;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.protocol.KnowledgeDigest;
 import org.mustardlane.protocol.KnowledgeServiceGrpc;
@@ -42,6 +43,8 @@
  */
 public final class PeerGossip extends KnowledgeServiceGrpc.KnowledgeServiceImplBase implements QuarantineListener {
 
+	private static final String TASK_NAME = "gossip";
+
 	private static final int INTERVAL_MILLIS = 1000;
 
 	/**
@@ -148,7 +151,8 @@
 			return;
 		}
 		this.pushScheduled = true;
-		this.loop.schedule(this::pushDigest, PUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.schedule(new GuardedTask(TASK_NAME, this::pushDigest, this.log), PUSH_DELAY_MILLIS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -169,16 +173,8 @@
 	}
 
 	private void runRound() {
-		long nowMillis = this.clock.nowMillis();
 		boolean isUrgent = this.routingState.needsPeerRecords();
-		try {
-			this.registry.pickPeer(ThreadLocalRandom.current()::nextDouble, nowMillis, isUrgent)
-				.ifPresent((peer) -> sendDigest(peer, createDigest()));
-		}
-		catch (RuntimeException ex) {
-			// Without this, an unexpected exception would end the chain of rounds.
-			this.log.warn(LogEvent.UNEXPECTED_ERROR, "task", "gossip", "reason", ex);
-		}
+		new GuardedTask(TASK_NAME, () -> contactPeer(isUrgent), this.log).run();
 		int intervalMillis = isUrgent ? URGENT_INTERVAL_MILLIS : INTERVAL_MILLIS;
 		// Jitter, so that routers that started together do not send their digests at the
 		// same time.
@@ -186,6 +182,11 @@
 		this.loop.schedule(this::runRound, intervalMillis - jitterMillis, TimeUnit.MILLISECONDS);
 	}
 
+	private void contactPeer(boolean isUrgent) {
+		this.registry.pickPeer(ThreadLocalRandom.current()::nextDouble, this.clock.nowMillis(), isUrgent)
+			.ifPresent((peer) -> sendDigest(peer, createDigest()));
+	}
+
 	private void sendDigest(PeerAddress peer, KnowledgeDigest digest) {
 		KnowledgeServiceGrpc.newStub(channelTo(peer))
 			.withDeadlineAfter(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/quarantine/QuarantineRecords.java
@@ -2,12 +2,12 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 
 import org.mustardlane.core.directory.LogPosition;
@@ -15,6 +15,7 @@
 import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
+import org.mustardlane.gateway.knowledge.RecordApplier;
 import org.mustardlane.gateway.knowledge.RecordLog;
 import org.mustardlane.gateway.knowledge.Topic;
 import org.mustardlane.gateway.knowledge.TopicListener;
@@ -53,6 +54,8 @@
 
 	private final DecisionLog log;
 
+	private final RecordApplier recordApplier;
+
 	private final Set<String> storedKeys = new HashSet<>();
 
 	/**
@@ -67,6 +70,7 @@
 		this.recordLog = recordLog;
 		this.loop = loop;
 		this.log = log;
+		this.recordApplier = new RecordApplier(log);
 	}
 
 	@Override
@@ -150,17 +154,8 @@
 	public void onRecords(List<KeyedRecord> records) {
 		for (KeyedRecord logRecord : records) {
 			this.storedKeys.add(logRecord.key());
-			logRecord.body().ifPresent((body) -> apply(logRecord, body));
-		}
-	}
-
-	private void apply(KeyedRecord logRecord, byte[] body) {
-		try {
-			this.quarantine.add(decode(QuarantineRecord.parseFrom(body)), "log");
-		}
-		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			this.log.warn(LogEvent.RECORD_REJECTED, "key", logRecord.key(), "epoch", logRecord.position().epoch(),
-					"offset", logRecord.position().offset(), "reason", ex);
+			this.recordApplier.apply(logRecord, (body) -> Optional.of(decode(QuarantineRecord.parseFrom(body))))
+				.ifPresent((stored) -> this.quarantine.add(stored, "log"));
 		}
 	}
 
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.mustardlane.core.directory.LogPosition;
@@ -18,6 +19,7 @@
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.LogRateLimiter;
+import org.mustardlane.gateway.wire.MalformedRecordException;
 import org.mustardlane.gateway.wire.RecordDecoder;
 
 import static org.testng.Assert.assertEquals;
@@ -120,20 +122,55 @@
 		assertEquals(this.ownState.peerRequestPosition(), new LogPosition(0, 11));
 	}
 
+	@DataProvider
+	public Object[][] decodingFailures() {
+		return new Object[][] { { "malformed" }, { "exception" }, { "stack-overflow" } };
+	}
+
+	// Guards against one record that keeps the others from being applied (review/1).
+	@Test(dataProvider = "decodingFailures")
+	public void recordThatCannotBeDecodedAffectsNoOtherRecord(String oddKey) {
+		this.ownState.applyTargets(List.of(liveRecord(oddKey, 20), removalRecord("t-1", 21), liveRecord("t-3", 22)));
+		assertEquals(readyTargets(this.ownState), List.of("t-2", "t-3"));
+		this.ownState.replaceTargets(List.of(liveRecord("t-2", 11), liveRecord(oddKey, 20), liveRecord("t-4", 30)),
+				new LogPosition(0, 31));
+		assertEquals(readyTargets(this.ownState), List.of("t-2", "t-4"));
+		this.ownState.applyRelayedTargets(List.of(liveRecord(oddKey, 40), removalRecord("t-2", 41)));
+		assertEquals(readyTargets(this.ownState), List.of("t-4"));
+	}
+
+	@Test(dataProvider = "decodingFailures")
+	public void routesThatCannotBeDecodedDoNotReplaceTheRoutes(String oddKey) {
+		this.ownState.applyRoutes(liveRecord(oddKey, 20), "log");
+		assertEquals(this.ownState.routesVersion(), 1);
+	}
+
 	private static final class AcceptAllDecoder implements RecordDecoder {
 
 		@Override
-		public Optional<RouteTable> decodeRoutes(String key, byte[] body) {
+		public Optional<RouteTable> decodeRoutes(String key, byte[] body) throws MalformedRecordException {
+			failIfOdd(key);
 			return Optional.of(new RouteTable(1, List.of(), List.of(), Map.of(), false,
 					new RequestLimits(16_384, 100_000, 3000, 15_000)));
 		}
 
 		@Override
-		public TargetEntry decodeTarget(String key, byte[] body) {
+		public TargetEntry decodeTarget(String key, byte[] body) throws MalformedRecordException {
+			failIfOdd(key);
 			return new TargetEntry(new TargetId(key), POOL, "127.0.0.1", 1, new DomainId("north"), 4, TargetState.READY,
 					0, 0);
 		}
 
+		private static void failIfOdd(String key) throws MalformedRecordException {
+			switch (key) {
+				case "malformed" -> throw new MalformedRecordException("odd record");
+				case "exception" -> throw new IllegalStateException("odd record");
+				case "stack-overflow" -> throw new StackOverflowError();
+				default -> {
+				}
+			}
+		}
+
 	}
 
 }
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -6,12 +6,14 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import org.mustardlane.core.directory.LogPosition;
@@ -143,23 +145,61 @@
 		assertEquals(waitingListener.outageCount.get(), 0);
 	}
 
-	@Test
-	public void unexpectedExceptionDoesNotEndTheReads() {
+	@DataProvider
+	public Object[][] unexpectedFailures() {
+		return new Object[][] { { new IllegalStateException("unexpected record") }, { new StackOverflowError() },
+				{ new OutOfMemoryError() } };
+	}
+
+	// Guards against an error that ends the chain of reads for good (review/1).
+	@Test(dataProvider = "unexpectedFailures")
+	public void unexpectedFailureOfTheListenerDoesNotEndTheReads(Throwable failure) {
 		write("key", "one");
 		start();
 		awaitValue("key", "one");
-		this.listener.failures.set(1);
+		this.listener.nextFailure.set(failure);
 		write("key", "two");
 		awaitValue("key", "two");
 		write("key", "three");
 		awaitValue("key", "three");
 	}
 
+	@Test(dataProvider = "unexpectedFailures")
+	public void unexpectedFailureOfTheClientDoesNotEndTheReads(Throwable failure) {
+		write("key", "one");
+		start();
+		awaitValue("key", "one");
+		this.recordLog.throwOnNextRead(failure);
+		await().until(() -> this.listener.outageCount.get() > 0);
+		write("key", "two");
+		awaitValue("key", "two");
+	}
+
+	@Test(dataProvider = "unexpectedFailures")
+	public void listenerThatFailsToHearOfAnOutageDoesNotEndTheReads(Throwable failure) {
+		write("key", "one");
+		start();
+		awaitValue("key", "one");
+		this.listener.outageFailure.set(failure);
+		this.recordLog.setUnavailable(true);
+		await().until(() -> this.listener.outageCount.get() > 0);
+		this.recordLog.setUnavailable(false);
+		write("key", "two");
+		awaitValue("key", "two");
+	}
+
+	@SuppressWarnings("unchecked")
+	private static <T extends Throwable> void throwUnchecked(Throwable failure) throws T {
+		throw (T) failure;
+	}
+
 	private static final class RecordingListener implements TopicListener {
 
 		private final Map<String, String> values = new ConcurrentHashMap<>();
 
-		private final AtomicInteger failures = new AtomicInteger();
+		private final AtomicReference<Throwable> nextFailure = new AtomicReference<>();
+
+		private final AtomicReference<Throwable> outageFailure = new AtomicReference<>();
 
 		private final AtomicInteger snapshotCount = new AtomicInteger();
 
@@ -177,13 +217,20 @@
 
 		@Override
 		public void onRecords(List<KeyedRecord> records) {
-			if (!records.isEmpty() && this.failures.getAndUpdate((count) -> Math.max(0, count - 1)) > 0) {
-				throw new IllegalStateException("unexpected record");
+			if (!records.isEmpty()) {
+				throwOnce(this.nextFailure);
 			}
 			records.forEach((logRecord) -> logRecord.body()
 				.ifPresent((body) -> this.values.put(logRecord.key(), new String(body, StandardCharsets.UTF_8))));
 		}
 
+		private static void throwOnce(AtomicReference<Throwable> reference) {
+			Throwable failure = reference.getAndSet(null);
+			if (failure != null) {
+				TopicFollowerTests.<RuntimeException>throwUnchecked(failure);
+			}
+		}
+
 		@Override
 		public void onRestored(LogPosition before, LogPosition end) {
 			this.restorationCount.incrementAndGet();
@@ -192,6 +239,7 @@
 		@Override
 		public void onUnavailable(String reason) {
 			this.outageCount.incrementAndGet();
+			throwOnce(this.outageFailure);
 		}
 
 		@Override
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
@@ -33,6 +33,8 @@
 
 	private boolean unavailable;
 
+	private Optional<Throwable> nextFailure = Optional.empty();
+
 	private int pageSize = 500;
 
 	/**
@@ -54,6 +56,27 @@
 		this.unavailable = unavailable;
 	}
 
+	/**
+	 * Makes the next read throw in place of returning a result.
+	 * @param failure what is thrown
+	 */
+	public synchronized void throwOnNextRead(Throwable failure) {
+		this.nextFailure = Optional.of(failure);
+	}
+
+	private void throwIfRequested() {
+		if (this.nextFailure.isPresent()) {
+			Throwable failure = this.nextFailure.get();
+			this.nextFailure = Optional.empty();
+			FakeRecordLog.<RuntimeException>throwUnchecked(failure);
+		}
+	}
+
+	@SuppressWarnings("unchecked")
+	private static <T extends Throwable> void throwUnchecked(Throwable failure) throws T {
+		throw (T) failure;
+	}
+
 	/**
 	 * Discards the history of a topic except for the newest record of each key.
 	 * @param topic the topic
@@ -115,6 +138,7 @@
 
 	@Override
 	public synchronized CompletionStage<RecordBatch> read(Topic topic, long fromOffset, int waitMillis) {
+		throwIfRequested();
 		if (this.unavailable) {
 			return CompletableFuture.failedStage(new RecordLogException("the log is unavailable"));
 		}
