--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/PooledConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/PooledConnection.java
@@ -100,7 +100,11 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
-			if (this.currentCall.isEmpty()) {
+			if (hasBrokenOff()) {
+				// The decoder takes a response without a length as complete now.
+				failCall("the connection has broken off");
+			}
+			else if (this.currentCall.isEmpty()) {
 				// No request is in progress, so these bytes belong to none.
 				close();
 			}
@@ -113,6 +117,10 @@
 		}
 	}
 
+	private boolean hasBrokenOff() {
+		return !channel().isActive() && !((TargetChannel) channel()).isEndOfInputRead();
+	}
+
 	/**
 	 * Ends the current call after its complete response.
 	 * @param reusable whether the response allows another call on this connection
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -117,7 +116,7 @@
 		PooledConnection connection = new PooledConnection(TargetAddress.of(target), call, this::keepIdle);
 		call.assign(connection);
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
+			.channelFactory(TargetChannel::new)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.handler(new ChannelInitializer<Channel>() {
