Odd entries of other writers name no target and hide no other entry

A report of other operators: an entry nested deeply, with a number too large or a port out of range; routers ended, or stopped following the list.

A port of 70000 or -1 was used, and the exception of the attempt to connect cost the caller its answer; a key outside ASCII was used in a header; a record without a whole key made the read of its batch fail.

A record without a whole key is rejected by itself, and peers get a rejected record without its body.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -115,8 +115,7 @@
 		Set<String> snapshotKeys = snapshot.stream().map(KeyedRecord::key).collect(Collectors.toSet());
 		this.targetRecords.entrySet()
 			.removeIf((entry) -> !snapshotKeys.contains(entry.getKey()) && end.isAfter(entry.getValue().position()));
-		storeTargetRecords(snapshot);
-		List<DirectoryRecord> decodedRecords = decodeTargets(snapshot);
+		List<DirectoryRecord> decodedRecords = decodeAndStore(snapshot);
 		logOutdated(decodedRecords);
 		logChanges(this.targets.applySnapshot(decodedRecords, end, this.clock.nowMillis()));
 		this.targetsLoaded = true;
@@ -128,8 +127,7 @@
 	 * @param logRecords records in the order of the log
 	 */
 	public void applyTargets(List<KeyedRecord> logRecords) {
-		storeTargetRecords(logRecords);
-		List<DirectoryRecord> decodedRecords = decodeTargets(logRecords);
+		List<DirectoryRecord> decodedRecords = decodeAndStore(logRecords);
 		logOutdated(decodedRecords);
 		logChanges(this.targets.apply(decodedRecords, this.clock.nowMillis()));
 	}
@@ -152,11 +150,9 @@
 		return state.map(TargetState::name).orElse("NONE");
 	}
 
-	private void storeTargetRecords(List<KeyedRecord> logRecords) {
-		for (KeyedRecord logRecord : logRecords) {
-			this.targetRecords.merge(logRecord.key(), logRecord,
-					(stored, added) -> added.position().isAfter(stored.position()) ? added : stored);
-		}
+	private void storeTargetRecord(KeyedRecord logRecord) {
+		this.targetRecords.merge(logRecord.key(), logRecord,
+				(stored, added) -> added.position().isAfter(stored.position()) ? added : stored);
 		if (this.targetRecords.size() > MAX_TARGET_RECORDS) {
 			LogPosition newest = targetsPosition();
 			this.targetRecords.values()
@@ -173,8 +169,7 @@
 	 */
 	public void applyRelayedTargets(List<KeyedRecord> relayedRecords) {
 		if (!relayedRecords.isEmpty()) {
-			storeTargetRecords(relayedRecords);
-			logChanges(this.targets.applyRelayed(decodeTargets(relayedRecords), this.clock.nowMillis()));
+			logChanges(this.targets.applyRelayed(decodeAndStore(relayedRecords), this.clock.nowMillis()));
 			this.targetsLoaded = true;
 			notifyIfComplete();
 		}
@@ -247,13 +242,19 @@
 		return areRemovalsReliable() ? targetsPosition() : this.positionBeforeOutage.orElse(targetsPosition());
 	}
 
-	private List<DirectoryRecord> decodeTargets(List<KeyedRecord> logRecords) {
+	private List<DirectoryRecord> decodeAndStore(List<KeyedRecord> logRecords) {
 		List<DirectoryRecord> decodedRecords = new ArrayList<>();
 		for (KeyedRecord logRecord : logRecords) {
-			if (!logRecord.key().isEmpty()) {
-				decodedRecords.add(new DirectoryRecord(new TargetId(logRecord.key()), logRecord.position(),
-						decodeTarget(logRecord)));
+			if (logRecord.key().isEmpty()) {
+				this.log.warn(LogEvent.RECORD_REJECTED, "key", "", "epoch", logRecord.position().epoch(), "offset",
+						logRecord.position().offset(), "reason", "the record has no key");
+				continue;
 			}
+			Optional<TargetEntry> entry = decodeTarget(logRecord);
+			decodedRecords.add(new DirectoryRecord(new TargetId(logRecord.key()), logRecord.position(), entry));
+			// A rejected record names no target, which is all that peers need to know.
+			storeTargetRecord(entry.isPresent() ? logRecord
+					: new KeyedRecord(logRecord.key(), logRecord.position(), Optional.empty()));
 		}
 		return decodedRecords;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.grpc.ManagedChannel;
 import io.grpc.stub.StreamObserver;
@@ -75,6 +77,10 @@
 	 */
 	private static final int MAX_CHANNELS = 32;
 
+	private static final int MAX_PORT = 65_535;
+
+	private static final Pattern ADDRESS = Pattern.compile("(?<host>.+):(?<port>\\d{1,5})");
+
 	/**
 	 * Position while no other router is known.
 	 */
@@ -327,17 +333,16 @@
 	/**
 	 * Parses the address of a router.
 	 * @param text host and port, separated by a colon
-	 * @return the address, or empty if the text is malformed
+	 * @return the address, or empty if the text is malformed or the port is out of range
 	 */
 	public static Optional<PeerAddress> parseAddress(String text) {
-		int colon = text.lastIndexOf(':');
-		try {
-			return (colon <= 0) ? Optional.empty() : Optional
-				.of(new PeerAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
-		}
-		catch (NumberFormatException ex) {
+		Matcher address = ADDRESS.matcher(text);
+		if (!address.matches()) {
 			return Optional.empty();
 		}
+		int port = Integer.parseInt(address.group("port"));
+		return (port < 1 || port > MAX_PORT) ? Optional.empty()
+				: Optional.of(new PeerAddress(address.group("host"), port));
 	}
 
 }
