--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -1,6 +1,7 @@
 package org.mustardlane.gateway.exchange;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -30,6 +31,11 @@
 
 	private static final int MISDIRECTED_REQUEST = 421;
 
+	/**
+	 * Statuses that callers take for the promise that a call has not run.
+	 */
+	private static final Set<Integer> PROMISES_OF_NO_RUN = Set.of(408, MISDIRECTED_REQUEST, 429, 503);
+
 	/**
 	 * A target that has not started to respond within this multiple of the latency
 	 * objective is considered unresponsive, if another target may execute the call.
@@ -155,6 +161,12 @@
 			return;
 		}
 		this.load.recordResponse(head.isServerError());
+		if (PROMISES_OF_NO_RUN.contains(head.status()) && !this.exchange.route().semantics().isRepeatable()) {
+			// The caller would take the status for the promise that the call has not run.
+			this.call.ifPresent(TargetCall::cancel);
+			failAttempt(AttemptFailure.BROKEN, "status " + head.status() + " without that promise");
+			return;
+		}
 		if (this.exchange.responseSink().isStarted() && !(head.isSuccess() && head.eventStream())) {
 			// The body of this response must not be forwarded as the rest of the stream.
 			this.call.ifPresent(TargetCall::cancel);
@@ -204,7 +216,7 @@
 		Optional<String> previousEventId = sink.lastEventId();
 		if (!sink.addContent(content)) {
 			this.call.ifPresent(TargetCall::cancel);
-			failAttempt(AttemptFailure.BROKEN, "the ids of the events do not increase or an event is too long");
+			failAttempt(AttemptFailure.BROKEN, "the bytes are no events with increasing ids");
 			return;
 		}
 		// Comments and parts of an event are no progress of a stream.
