Lines that belong to no event break a stream off

Each line must now be a field of an event, a comment or blank; the first that is not ends the attempt as broken.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventStreamBuffer.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/EventStreamBuffer.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -17,6 +18,8 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	private static final Set<String> FIELDS_WITHOUT_VALUE = Set.of("data", "event", "id", "retry");
+
 	/**
 	 * Limits the memory that a target occupies if it never ends an event.
 	 */
@@ -26,7 +29,7 @@
 
 	private Optional<String> lastEventId = Optional.empty();
 
-	private boolean outOfOrder;
+	private boolean invalid;
 
 	private int eventCount;
 
@@ -47,7 +50,7 @@
 		}
 		Optional<String> previousEventId = this.lastEventId;
 		readLines(combined, end);
-		if (this.outOfOrder) {
+		if (this.invalid) {
 			this.lastEventId = previousEventId;
 		}
 		return Optional.of(Unpooled.wrappedBuffer(combined, 0, end));
@@ -82,6 +85,7 @@
 		int lineStart = 0;
 		for (int index = 0; index < length; index++) {
 			if (events[index] == '\n') {
+				this.invalid |= !isLineOfAnEvent(events, lineStart, index);
 				parseIdField(events, lineStart, index);
 				countEvent(events, lineStart, index);
 				lineStart = index + 1;
@@ -89,6 +93,25 @@
 		}
 	}
 
+	// The text of an error, or the head of another response, is no line of an event.
+	private static boolean isLineOfAnEvent(byte[] events, int start, int end) {
+		int lineEnd = (end > start && events[end - 1] == '\r') ? end - 1 : end;
+		int nameEnd = start;
+		while (nameEnd < lineEnd && isNameCharacter(events[nameEnd])) {
+			nameEnd++;
+		}
+		return (nameEnd == lineEnd) ? isFieldWithoutValue(events, start, lineEnd) : events[nameEnd] == ':';
+	}
+
+	private static boolean isNameCharacter(byte character) {
+		return Character.isLetterOrDigit(character) || character == '-' || character == '_';
+	}
+
+	private static boolean isFieldWithoutValue(byte[] events, int start, int end) {
+		return start == end
+				|| FIELDS_WITHOUT_VALUE.contains(new String(events, start, end - start, StandardCharsets.US_ASCII));
+	}
+
 	// A blank line ends an event if fields, and not only comments, precede it.
 	private void countEvent(byte[] events, int start, int end) {
 		boolean isBlank = start == end || events[start] == '\r';
@@ -112,7 +135,7 @@
 
 	private void updateLastEventId(String id) {
 		if (this.lastEventId.filter((lastId) -> !isIncreasing(lastId, id)).isPresent()) {
-			this.outOfOrder = true;
+			this.invalid = true;
 			return;
 		}
 		this.lastEventId = Optional.of(id);
@@ -129,11 +152,11 @@
 	}
 
 	/**
-	 * Returns whether an event id did not increase.
-	 * @return true from the first such id until {@link #discardPartialEvent} is called
+	 * Returns whether an event id did not increase or a line cannot belong to an event.
+	 * @return true from the first such line until {@link #discardPartialEvent} is called
 	 */
-	boolean isOutOfOrder() {
-		return this.outOfOrder;
+	boolean isInvalid() {
+		return this.invalid;
 	}
 
 	/**
@@ -169,10 +192,10 @@
 	}
 
 	/**
-	 * Discards an incomplete event and resets the out-of-order state.
+	 * Discards an incomplete event and forgets invalid lines.
 	 */
 	void discardPartialEvent() {
-		this.outOfOrder = false;
+		this.invalid = false;
 		this.pending = new byte[0];
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResponseSink.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResponseSink.java
@@ -54,8 +54,8 @@
 	/**
 	 * Adds a part of the response body.
 	 * @param content the bytes, which are copied
-	 * @return false if an event id does not increase or an event is too long, in which
-	 * case no event of this part is forwarded
+	 * @return false if an event id does not increase, an event is too long, or a line
+	 * cannot belong to an event, in which case no event of this part is forwarded
 	 */
 	boolean addContent(ByteBuf content) {
 		if (isEventStream()) {
@@ -72,7 +72,7 @@
 
 	private boolean addEvents(ByteBuf content) {
 		Optional<ByteBuf> completeEvents = this.eventBuffer.append(content);
-		if (this.eventBuffer.isOutOfOrder() || this.eventBuffer.isEventTooLong()) {
+		if (this.eventBuffer.isInvalid() || this.eventBuffer.isEventTooLong()) {
 			completeEvents.ifPresent(ByteBuf::release);
 			return false;
 		}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/EventStreamBufferTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/EventStreamBufferTests.java
@@ -60,19 +60,19 @@
 	public void idThatDoesNotIncreaseIsDetectedAndThePreviousIdIsKept() {
 		EventStreamBuffer eventBuffer = new EventStreamBuffer();
 		eventBuffer.append(toBuffer("id: 4\ndata: a\n\n"));
-		assertFalse(eventBuffer.isOutOfOrder());
+		assertFalse(eventBuffer.isInvalid());
 		eventBuffer.append(toBuffer("id: 5\ndata: b\n\nid: 5\ndata: b\n\n"));
-		assertTrue(eventBuffer.isOutOfOrder());
+		assertTrue(eventBuffer.isInvalid());
 		assertEquals(eventBuffer.lastEventId(), Optional.of("4"));
 		eventBuffer.discardPartialEvent();
-		assertFalse(eventBuffer.isOutOfOrder());
+		assertFalse(eventBuffer.isInvalid());
 	}
 
 	@Test
 	public void nonNumericIdsAreNotCompared() {
 		EventStreamBuffer eventBuffer = new EventStreamBuffer();
 		eventBuffer.append(toBuffer("id: b\ndata: a\n\nid: a\ndata: b\n\n"));
-		assertFalse(eventBuffer.isOutOfOrder());
+		assertFalse(eventBuffer.isInvalid());
 		assertEquals(eventBuffer.lastEventId(), Optional.of("a"));
 	}
 
