Targets that leave, or that want no requests for a time, are taken at their word

The directory keeps the start of a target that has said that it leaves; it counts as ready again only after a later start. A pause that was asked for is kept beside the load of the target, is not ended by other answers and not skipped if no other target is left. A call that no target wants is refused at once with the time until the first one does, also if it was turned away itself. An answer of 421 comes from another target and says nothing.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,8 @@
  */
 public final class TargetDirectory {
 
+	private static final long UNKNOWN_START_MILLIS = 0;
+
 	/**
 	 * Maximum number of removal records kept. They prevent old records from adding
 	 * removed targets again.
@@ -53,6 +56,11 @@
 
 	private final Set<TargetId> missingTargets = new HashSet<>();
 
+	/**
+	 * Start time of each target that has said that it leaves.
+	 */
+	private final Map<TargetId, Long> startsOfLeavingTargets = new LinkedHashMap<>();
+
 	private Map<PoolId, List<TargetEntry>> readyByPool = Map.of();
 
 	private OptionalLong epoch = OptionalLong.empty();
@@ -175,6 +183,10 @@
 	}
 
 	private void store(DirectoryRecord change, boolean trustRemovals) {
+		if (change.entry().isEmpty() && trustRemovals) {
+			// What comes under this id without a start time is another start.
+			this.startsOfLeavingTargets.remove(change.id(), UNKNOWN_START_MILLIS);
+		}
 		change.entry().ifPresent((entry) -> this.lastEntries.put(change.id(), entry));
 		if (change.entry().isPresent() || trustRemovals) {
 			this.missingTargets.remove(change.id());
@@ -206,6 +218,29 @@
 		return apply(changes, nowMillis);
 	}
 
+	/**
+	 * Records that a target has said itself that it leaves. It does not count as ready
+	 * any more, whatever its entry states, until it starts again.
+	 * @param target the entry of the target at the time it was sent a request
+	 * @return whether this is news
+	 */
+	public boolean markLeaving(TargetEntry target) {
+		Long previousStart = this.startsOfLeavingTargets.put(target.id(), target.startedAtMillis());
+		if (previousStart != null && previousStart == target.startedAtMillis()) {
+			return false;
+		}
+		if (this.startsOfLeavingTargets.size() > MAX_REMOVALS) {
+			this.startsOfLeavingTargets.remove(this.startsOfLeavingTargets.keySet().iterator().next());
+		}
+		rebuildReadyTargets();
+		return true;
+	}
+
+	private boolean acceptsRequests(TargetEntry entry) {
+		Long leavingStart = this.startsOfLeavingTargets.get(entry.id());
+		return entry.isReady() && (leavingStart == null || leavingStart < entry.startedAtMillis());
+	}
+
 	/**
 	 * Records that the log cannot be read.
 	 */
@@ -290,7 +325,7 @@
 		Map<PoolId, List<TargetEntry>> entriesByPool = new HashMap<>();
 		for (DirectoryRecord knownRecord : this.records.values()) {
 			knownRecord.entry()
-				.filter(TargetEntry::isReady)
+				.filter(this::acceptsRequests)
 				.ifPresent(
 						(entry) -> entriesByPool.computeIfAbsent(entry.pool(), (pool) -> new ArrayList<>()).add(entry));
 		}
@@ -313,8 +348,9 @@
 	 */
 	public boolean isReady(TargetEntry target) {
 		DirectoryRecord knownRecord = this.records.get(target.id());
-		return knownRecord != null
-				&& knownRecord.entry().filter((entry) -> entry.isReady() && entry.port() == target.port()).isPresent();
+		return knownRecord != null && knownRecord.entry()
+			.filter((entry) -> acceptsRequests(entry) && entry.port() == target.port())
+			.isPresent();
 	}
 
 	/**
--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.mustardlane.core.directory.TargetEntry;
+
 /**
  * The load and the health of one target, as known to this router.
  *
@@ -52,6 +54,8 @@
 
 	private long pauseEndMillis;
 
+	private RequestedPause requestedPause = RequestedPause.NONE;
+
 	/**
 	 * Records that this router sends a request to the target.
 	 * @param nowMillis the current time
@@ -115,12 +119,23 @@
 
 	/**
 	 * Returns the time until this router may send a request without exceeding its share
-	 * of the limit of the target.
+	 * of the limit of the target, and not during a pause that the target has asked for.
+	 * @param target the current entry of the target
 	 * @param nowMillis the current time
 	 * @return the time in milliseconds, 0 if a request may be sent now
 	 */
-	public long millisUntilAdmitted(long nowMillis) {
-		return this.rateShare.map((share) -> share.millisUntilPermit(nowMillis)).orElse(0L);
+	public long millisUntilAdmitted(TargetEntry target, long nowMillis) {
+		long untilPermitMillis = this.rateShare.map((share) -> share.millisUntilPermit(nowMillis)).orElse(0L);
+		return Math.max(untilPermitMillis, this.requestedPause.remainingMillis(target, nowMillis));
+	}
+
+	/**
+	 * Records that the target wants no requests from this router for some time. A pause
+	 * that ends later stays in force.
+	 * @param pause the pause
+	 */
+	public void recordRequestedPause(RequestedPause pause) {
+		this.requestedPause = this.requestedPause.combine(pause);
 	}
 
 	/**
--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -180,4 +180,38 @@
 		assertFalse(this.directory.isReady(entryRecord("a", 1, TargetState.READY).entry().orElseThrow()));
 	}
 
+	private static DirectoryRecord startedRecord(String id, long offset, long startedAtMillis) {
+		return new DirectoryRecord(new TargetId(id), new LogPosition(0, offset),
+				Optional.of(new TargetEntry(new TargetId(id), POOL, "127.0.0.1", 80, new DomainId("north"), 4,
+						TargetState.READY, startedAtMillis, offset)));
+	}
+
+	@Test
+	public void targetThatSaysThatItLeavesIsNotReadyUntilItStartsAgain() {
+		TargetDirectory targets = directoryWith(startedRecord("a", 1, 100));
+		TargetEntry target = targets.readyTargets(POOL).get(0);
+		assertTrue(targets.markLeaving(target));
+		assertFalse(targets.markLeaving(target));
+		assertTrue(targets.readyTargets(POOL).isEmpty());
+		assertFalse(targets.isReady(target));
+		targets.apply(List.of(startedRecord("a", 2, 100)), 0);
+		assertTrue(targets.readyTargets(POOL).isEmpty());
+		targets.apply(List.of(removal("a", 3)), 0);
+		targets.apply(List.of(startedRecord("a", 4, 100)), 0);
+		assertTrue(targets.readyTargets(POOL).isEmpty());
+		targets.apply(List.of(startedRecord("a", 5, 101)), 0);
+		assertEquals(targets.readyTargets(POOL).size(), 1);
+	}
+
+	@Test
+	public void leavingTargetOfUnknownStartIsReadyAgainOnlyAfterItsRemoval() {
+		TargetDirectory targets = directoryWith(startedRecord("a", 1, 0));
+		targets.markLeaving(targets.readyTargets(POOL).get(0));
+		targets.apply(List.of(startedRecord("a", 2, 0)), 0);
+		assertTrue(targets.readyTargets(POOL).isEmpty());
+		targets.apply(List.of(removal("a", 3)), 0);
+		targets.apply(List.of(startedRecord("a", 4, 0)), 0);
+		assertEquals(targets.readyTargets(POOL).size(), 1);
+	}
+
 }
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
@@ -9,6 +9,12 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.directory.TargetState;
+import org.mustardlane.core.model.common.DomainId;
+import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.TargetId;
+
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -18,6 +24,9 @@
  */
 public class RateShareTests {
 
+	private static final TargetEntry TARGET = new TargetEntry(new TargetId("t-1"), new PoolId("pool"), "127.0.0.1", 80,
+			new DomainId("north"), 4, TargetState.READY, 0, 1);
+
 	private static final int WINDOW_MILLIS = 4000;
 
 	private static final int RUN_MILLIS = 60_000;
@@ -130,11 +139,11 @@
 		TargetLoad load = new TargetLoad();
 		FleetPosition position = new FleetPosition(0, 15);
 		assertTrue(load.updateLimit(new TargetLimit(OptionalDouble.of(1), 1000), position));
-		assertTrue(load.millisUntilAdmitted(1001) > 0);
+		assertTrue(load.millisUntilAdmitted(TARGET, 1001) > 0);
 		assertFalse(load.updateLimit(new TargetLimit(OptionalDouble.empty(), 900), position));
 		assertTrue(load.updateLimit(new TargetLimit(OptionalDouble.empty(), 2000), position));
 		IntStream.range(0, 100).forEach((request) -> load.requestStarted(2001));
-		assertEquals(load.millisUntilAdmitted(2001), 0);
+		assertEquals(load.millisUntilAdmitted(TARGET, 2001), 0);
 	}
 
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -11,6 +11,7 @@
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.placement.LoadSample;
+import org.mustardlane.core.placement.RequestedPause;
 import org.mustardlane.core.placement.TargetLimit;
 import org.mustardlane.core.placement.TargetLoad;
 import org.mustardlane.core.retry.AttemptFailure;
@@ -148,6 +149,7 @@
 		this.context.loads().domainReachability().recordReachable(this.target.domain());
 		head.load().ifPresent(this.load::updateSample);
 		updateLimit(head, nowMillis);
+		recordWishes(head, nowMillis);
 		if (head.notExecuted() || head.status() == MISDIRECTED_REQUEST) {
 			this.call.ifPresent(TargetCall::cancel);
 			this.load.recordRejection(nowMillis);
@@ -195,6 +197,19 @@
 		}
 	}
 
+	// A misdirected request was answered by another target at the same address.
+	private void recordWishes(ResponseHead head, long nowMillis) {
+		if (head.status() == MISDIRECTED_REQUEST) {
+			return;
+		}
+		if (head.leaving()) {
+			this.context.routingState().markLeaving(this.target);
+		}
+		head.pauseMillis()
+			.ifPresent((pauseMillis) -> this.load
+				.recordRequestedPause(new RequestedPause(this.target.startedAtMillis(), nowMillis + pauseMillis)));
+	}
+
 	private void handleServerError(ResponseHead head) {
 		if (this.exchange.handleFailedAttempt(AttemptFailure.FAILURE_ANSWERED, false, "status " + head.status())) {
 			this.responseStarted = true;
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
@@ -13,7 +13,8 @@
 
 /**
  * The targets that one call may be sent to. Each target is tried once, and only while
- * this router may send it requests within the limit of the target.
+ * this router may send it requests: within the limit of the target, and not during a
+ * pause that it has asked for.
  *
  * <p>
  * Confined to the event loop of the daemon.
@@ -54,7 +55,7 @@
 	}
 
 	private long millisUntilAdmitted(TargetEntry target) {
-		return this.context.loads().of(target.id()).millisUntilAdmitted(this.context.nowMillis());
+		return this.context.loads().of(target.id()).millisUntilAdmitted(target, this.context.nowMillis());
 	}
 
 	/**
@@ -73,6 +74,15 @@
 		return untriedTargets().mapToLong(this::millisUntilAdmitted).min();
 	}
 
+	/**
+	 * Returns the time until any target may be sent a call, whether it was tried or not.
+	 * @return the time in milliseconds, 0 if a target may be sent a call now or none is
+	 * ready
+	 */
+	long millisUntilAnyTarget() {
+		return poolTargets().stream().mapToLong(this::millisUntilAdmitted).min().orElse(0);
+	}
+
 	/**
 	 * Excludes a target from further attempts.
 	 * @param target the target
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -315,7 +315,8 @@
 	}
 
 	private void giveUp(String detail) {
-		giveUp(detail, RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+		giveUp(detail, Math.max(RetryAfter.refusalDelayMillis(this.context.nextRandom()),
+				this.callTargets.millisUntilAnyTarget()));
 	}
 
 	private void giveUp(String detail, long retryAfterMillis) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RoutingState.java
@@ -150,6 +150,17 @@
 		return state.map(TargetState::name).orElse("NONE");
 	}
 
+	/**
+	 * Records that a target has said in a response that it leaves.
+	 * @param target the entry of the target at the time it was sent the request
+	 */
+	public void markLeaving(TargetEntry target) {
+		if (this.targets.markLeaving(target)) {
+			this.log.write(LogEvent.TARGET_CHANGED, "target", target.id(), "state", "NONE", "before", target.state(),
+					"reason", "leaving");
+		}
+	}
+
 	private void storeTargetRecord(KeyedRecord logRecord) {
 		this.targetRecords.merge(logRecord.key(), logRecord,
 				(stored, added) -> added.position().isAfter(stored.position()) ? added : stored);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -20,11 +21,14 @@
  * @param load load that the target reports, empty if it reports none
  * @param limitPerSecond requests per second that the target accepts from all routers
  * together, empty if it reports no limit
+ * @param leaving whether the target states that it leaves
+ * @param pauseMillis how long the target wants no further requests from this router,
+ * empty if it does not say so
  * @param headers headers to forward to the caller
  */
 public record ResponseHead(int status, Optional<String> requestId, boolean notExecuted, boolean sealed,
 		boolean contentEncoded, boolean eventStream, Optional<LoadSample> load, OptionalDouble limitPerSecond,
-		HttpHeaders headers) {
+		boolean leaving, OptionalLong pauseMillis, HttpHeaders headers) {
 
 	private static final int FIRST_SUCCESS = 200;
 
