--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/FrontConnection.java
@@ -39,8 +39,8 @@
  *
  * <p>
  * Messages that arrive while a call is in progress are queued, so that the connection is
- * still read and a close is noticed at once; the connection is closed if the queue
- * exceeds its limit. Confined to the event loop of the daemon.
+ * still read and a close is noticed at once. A connection whose queue exceeds its limit
+ * is read on once the queue is empty. Confined to the event loop of the daemon.
  */
 final class FrontConnection extends ChannelInboundHandlerAdapter {
 
@@ -115,7 +115,8 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.phase == Phase.RESPONDING) {
+		// Behind queued messages also once the call has ended, as they are handled later.
+		if (this.phase == Phase.RESPONDING || !this.queuedMessages.isEmpty()) {
 			enqueue(object);
 			return;
 		}
@@ -125,9 +126,7 @@
 	private void enqueue(HttpObject object) {
 		this.queuedMessages.add(object);
 		if (this.queuedMessages.size() > MAX_QUEUED_MESSAGES) {
-			this.context.log()
-				.write(LogEvent.CALLER_REJECTED, "reason", "too many pipelined messages on one connection");
-			this.channel.close();
+			this.channel.config().setAutoRead(false);
 		}
 	}
 
@@ -284,13 +283,26 @@
 		this.channel.writeAndFlush(message);
 		enterPhase(Phase.IDLE);
 		this.partialHead = !this.queuedMessages.isEmpty();
-		this.channel.eventLoop().execute(this::handleQueuedMessages);
+		this.channel.eventLoop().execute(this::handleQueuedMessagesSafely);
+	}
+
+	// An exception outside the pipeline would leave the connection without a response.
+	private void handleQueuedMessagesSafely() {
+		try {
+			handleQueuedMessages();
+		}
+		catch (RuntimeException ex) {
+			this.channel.pipeline().fireExceptionCaught(ex);
+		}
 	}
 
 	private void handleQueuedMessages() {
 		while (!this.queuedMessages.isEmpty() && this.phase != Phase.RESPONDING && this.phase != Phase.CLOSING) {
 			handle(this.queuedMessages.remove());
 		}
+		if (this.queuedMessages.isEmpty()) {
+			this.channel.config().setAutoRead(true);
+		}
 	}
 
 	// Keeps reading for a while: closing a socket with unread bytes sends a reset, which
@@ -298,6 +310,7 @@
 	private void writeAndClose(Object message) {
 		enterPhase(Phase.CLOSING);
 		releaseQueuedMessages();
+		this.channel.config().setAutoRead(true);
 		this.channel.writeAndFlush(message).addListener((future) -> {
 			if (!future.isSuccess()) {
 				this.channel.close();
