--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.mustardlane.gateway.front.FrontServer;
 import org.mustardlane.gateway.front.FrontSettings;
 import org.mustardlane.gateway.knowledge.AddressPublisher;
+import org.mustardlane.gateway.knowledge.LogConnections;
 import org.mustardlane.gateway.knowledge.LogEpoch;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
 import org.mustardlane.gateway.knowledge.PauseDetector;
@@ -153,20 +154,21 @@
 				this.shutdown::isStarted, this.clock, this.log);
 		this.recordLog = adapter.openLog(this.eventLoops);
 		LogEpoch logEpoch = new LogEpoch();
+		LogConnections connections = new LogConnections(this.log);
 		this.addressPublisher = new AddressPublisher(this.recordLog, settings.vm(), this.loop, this.log);
 		this.routesFollower = new TopicFollower(this.recordLog, Topic.ROUTES,
 				ReadPolicy.longPolling(settings.maxRoutesDelayMillis()),
-				new RoutesListener(this.routingState, this.log), this.loop, logEpoch);
+				new RoutesListener(this.routingState, this.log), this.loop, logEpoch, connections);
 		this.targetsFollower = new TopicFollower(this.recordLog, Topic.TARGETS,
 				ReadPolicy.polling(settings.maxLeavingDelayMillis()), new TargetsListener(this.routingState, this.log),
-				this.loop, logEpoch);
+				this.loop, logEpoch, connections);
 		this.routersFollower = new TopicFollower(this.recordLog, Topic.ROUTERS, ReadPolicy.INFREQUENT,
-				new RoutersListener(this::addPeer, this.addressPublisher, this.log), this.loop, logEpoch);
+				new RoutersListener(this::addPeer, this.addressPublisher, this.log), this.loop, logEpoch, connections);
 		QuarantineRecords quarantineRecords = new QuarantineRecords(this.quarantine, this.recordLog, this.loop,
 				this.log);
 		this.quarantine.addListener(quarantineRecords);
 		this.quarantinesFollower = new TopicFollower(this.recordLog, Topic.QUARANTINES, ReadPolicy.RARE_CHANGES,
-				quarantineRecords, this.loop, logEpoch);
+				quarantineRecords, this.loop, logEpoch, connections);
 		this.pauseDetector = new PauseDetector(this.clock, System::currentTimeMillis);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/ReadPolicy.java
@@ -21,13 +21,6 @@
 	 */
 	public static final ReadPolicy RARE_CHANGES = new ReadPolicy(20_000, 0);
 
-	/**
-	 * Duration of a long poll as a factor of the limit for route changes. A dead
-	 * connection must be noticed within that limit plus the time for which a router must
-	 * have been in contact with the log.
-	 */
-	private static final double LONG_POLL_FACTOR = 1.4;
-
 	/**
 	 * Delay between two reads as a factor of the limit for leaving targets; the rest of
 	 * the limit is left for the read itself and for a slow VM.
@@ -36,12 +29,13 @@
 
 	/**
 	 * Creates the policy for a topic with rare changes: each read waits at the platform
-	 * for the next change.
+	 * for the next change, but no longer than the limit, so that a silent connection is
+	 * noticed soon after it.
 	 * @param limitMillis maximum time until a change must be in force
 	 * @return the policy
 	 */
 	public static ReadPolicy longPolling(int limitMillis) {
-		return new ReadPolicy((int) (limitMillis * LONG_POLL_FACTOR), 0);
+		return new ReadPolicy(limitMillis, 0);
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RecordLog.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/RecordLog.java
@@ -40,4 +40,10 @@
 	 */
 	CompletionStage<Void> append(Topic topic, String key, byte[] body);
 
+	/**
+	 * Closes the connections that are not in use, so that the next request is sent over a
+	 * new one.
+	 */
+	void dropIdleConnections();
+
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.IntFunction;
 
 import io.netty.channel.EventLoop;
 
@@ -43,6 +43,8 @@
 
 	private final LogEpoch logEpoch;
 
+	private final LogConnections connections;
+
 	private final List<KeyedRecord> snapshot = new ArrayList<>();
 
 	private LogPosition snapshotEnd = LogPosition.START;
@@ -53,6 +55,8 @@
 
 	private int generation;
 
+	private Optional<HedgedRead<?>> currentRead = Optional.empty();
+
 	private boolean unavailable;
 
 	private int backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -65,16 +69,19 @@
 	 * @param listener receives the records
 	 * @param loop event loop of the daemon
 	 * @param logEpoch epoch of the log, shared by all followers
+	 * @param connections connections to the log, shared by all followers
 	 */
 	public TopicFollower(RecordLog recordLog, Topic topic, ReadPolicy readPolicy, TopicListener listener,
-			EventLoop loop, LogEpoch logEpoch) {
+			EventLoop loop, LogEpoch logEpoch, LogConnections connections) {
 		this.recordLog = recordLog;
 		this.topic = topic;
 		this.readPolicy = readPolicy;
 		this.listener = listener;
 		this.loop = loop;
 		this.logEpoch = logEpoch;
+		this.connections = connections;
 		logEpoch.addRestorationListener(this::restart);
+		connections.addSilenceListener(() -> this.currentRead.ifPresent(HedgedRead::repeat));
 	}
 
 	/**
@@ -82,7 +89,7 @@
 	 * before are ignored.
 	 */
 	public void start() {
-		this.generation++;
+		invalidate();
 		this.snapshot.clear();
 		readSnapshotPage(Optional.empty());
 	}
@@ -95,12 +102,18 @@
 		if (this.nextBeforeRestoration.isEmpty()) {
 			this.nextBeforeRestoration = this.next;
 		}
-		this.generation++;
+		invalidate();
 		runLater(ThreadLocalRandom.current().nextInt(MAX_RESTART_DELAY_MILLIS), this::start);
 	}
 
+	// Ignores the results of reads that are in progress, and tasks that are scheduled.
+	private void invalidate() {
+		this.generation++;
+		this.currentRead.ifPresent(HedgedRead::cancel);
+	}
+
 	private void readSnapshotPage(Optional<String> afterKey) {
-		request(() -> this.recordLog.readSnapshot(this.topic, afterKey),
+		request((waitMillis) -> this.recordLog.readSnapshot(this.topic, afterKey), 0,
 				(page) -> addSnapshotPage(page, afterKey.isEmpty()));
 	}
 
@@ -137,8 +150,9 @@
 	}
 
 	private void readNext() {
-		request(() -> this.recordLog.read(this.topic, this.next.orElseThrow().offset(),
-				this.readPolicy.maxWaitMillis()), this::handleBatch);
+		long fromOffset = this.next.orElseThrow().offset();
+		request((waitMillis) -> this.recordLog.read(this.topic, fromOffset, waitMillis),
+				this.readPolicy.maxWaitMillis(), this::handleBatch);
 	}
 
 	private void handleBatch(RecordBatch batch) {
@@ -165,19 +179,26 @@
 		}
 	}
 
-	private <T> void request(Supplier<CompletionStage<T>> read, Consumer<T> onSuccess) {
-		int generationAtStart = this.generation;
-		runSafely(() -> read.get().whenComplete((value, failure) -> this.loop.execute(() -> {
-			if (generationAtStart != this.generation) {
-				return;
+	private <T> void request(IntFunction<CompletionStage<T>> read, int waitMillis, Consumer<T> onSuccess) {
+		this.currentRead.ifPresent(HedgedRead::cancel);
+		HedgedRead<T> nextRead = new HedgedRead<>(this.recordLog, this.loop, read, new HedgedRead.Listener<T>() {
+			@Override
+			public void onSuccess(T value) {
+				runSafely(() -> onSuccess.accept(value));
 			}
-			if (failure != null) {
+
+			@Override
+			public void onFailure(Throwable failure) {
 				handleFailure(String.valueOf(failure.getMessage()));
 			}
-			else {
-				runSafely(() -> onSuccess.accept(value));
+
+			@Override
+			public void onSilence() {
+				TopicFollower.this.connections.reportSilence(TopicFollower.this.topic);
 			}
-		})));
+		});
+		this.currentRead = Optional.of(nextRead);
+		nextRead.start(waitMillis);
 	}
 
 	// Whatever is thrown, errors included, must not end the chain of reads.
@@ -187,7 +208,7 @@
 		}
 		catch (Throwable ex) {
 			// Ignores what the step has started before it failed.
-			this.generation++;
+			invalidate();
 			handleFailure("unexpected exception: " + ex);
 		}
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -35,6 +35,11 @@
 	 */
 	DEPENDENCY_REGAINED("dependency-regained"),
 
+	/**
+	 * A response was overdue, and came over a new connection.
+	 */
+	CONNECTIONS_SILENT("connections-silent"),
+
 	/**
 	 * A new version of the routes is in force.
 	 */
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/TopicFollowerTests.java
@@ -17,6 +17,8 @@
 import org.testng.annotations.Test;
 
 import org.mustardlane.core.directory.LogPosition;
+import org.mustardlane.gateway.report.DecisionLog;
+import org.mustardlane.gateway.report.LogRateLimiter;
 import org.mustardlane.gateway.standin.FakeRecordLog;
 
 import static org.awaitility.Awaitility.await;
@@ -35,13 +37,16 @@
 
 	private TopicFollower follower;
 
+	private LogConnections connections;
+
 	@BeforeMethod
 	public void open() {
+		this.connections = new LogConnections(new DecisionLog(new LogRateLimiter(100, () -> 0), () -> 0));
 		this.loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.recordLog = new FakeRecordLog();
 		this.listener = new RecordingListener();
 		this.follower = new TopicFollower(this.recordLog, Topic.TARGETS, new ReadPolicy(0, 5), this.listener,
-				this.loops.next(), new LogEpoch());
+				this.loops.next(), new LogEpoch(), this.connections);
 	}
 
 	@AfterMethod
@@ -132,9 +137,9 @@
 		LogEpoch logEpoch = new LogEpoch();
 		RecordingListener waitingListener = new RecordingListener();
 		TopicFollower waiting = new TopicFollower(this.recordLog, Topic.ROUTERS, new ReadPolicy(0, 600_000),
-				waitingListener, this.loops.next(), logEpoch);
+				waitingListener, this.loops.next(), logEpoch, this.connections);
 		TopicFollower polling = new TopicFollower(this.recordLog, Topic.TARGETS, new ReadPolicy(0, 5), this.listener,
-				this.loops.next(), logEpoch);
+				this.loops.next(), logEpoch, this.connections);
 		write("key", "one");
 		this.loops.next().execute(waiting::start);
 		this.loops.next().execute(polling::start);
@@ -193,6 +198,44 @@
 		throw (T) failure;
 	}
 
+	// Guards against a change that is not noticed while the connections to the log are
+	// silent (review/5).
+	@Test
+	public void topicIsFollowedOverNewConnectionsIfTheOldOnesGoSilent() {
+		write("key", "one");
+		start();
+		awaitValue("key", "one");
+		this.recordLog.silenceConnections();
+		write("key", "two");
+		awaitValue("key", "two");
+		assertEquals(this.listener.outageCount.get(), 0);
+	}
+
+	// Guards against a long poll on a silent connection that goes on to its end although
+	// another read has noticed the silence (review/5).
+	@Test
+	public void longPollIsSentAgainWhenAnotherReadNoticesTheSilence() {
+		RecordingListener waitingListener = new RecordingListener();
+		TopicFollower waiting = new TopicFollower(this.recordLog, Topic.ROUTES, new ReadPolicy(600_000, 0),
+				waitingListener, this.loops.next(), new LogEpoch(), this.connections);
+		this.loops.next().execute(waiting::start);
+		start();
+		await().until(() -> waitingListener.snapshotCount.get() == 1 && this.listener.snapshotCount.get() == 1);
+		this.recordLog.silenceConnections();
+		this.recordLog.write(Topic.ROUTES, "routes", Optional.of("new".getBytes(StandardCharsets.UTF_8)));
+		await().until(() -> "new".equals(waitingListener.values.get("routes")));
+		assertEquals(waitingListener.outageCount.get(), 0);
+	}
+
+	@Test
+	public void snapshotIsReadOverANewConnectionIfTheOldOneIsSilent() {
+		write("key", "one");
+		this.recordLog.silenceConnections();
+		start();
+		awaitValue("key", "one");
+		assertEquals(this.listener.outageCount.get(), 0);
+	}
+
 	private static final class RecordingListener implements TopicListener {
 
 		private final Map<String, String> values = new ConcurrentHashMap<>();
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
@@ -33,6 +33,8 @@
 
 	private boolean unavailable;
 
+	private boolean connectionsSilent;
+
 	private Optional<Throwable> nextFailure = Optional.empty();
 
 	private int pageSize = 500;
@@ -56,6 +58,18 @@
 		this.unavailable = unavailable;
 	}
 
+	/**
+	 * Makes all open connections silent: what is sent over them is never answered.
+	 */
+	public synchronized void silenceConnections() {
+		this.connectionsSilent = true;
+	}
+
+	@Override
+	public synchronized void dropIdleConnections() {
+		this.connectionsSilent = false;
+	}
+
 	/**
 	 * Makes the next read throw in place of returning a result.
 	 * @param failure what is thrown
@@ -119,6 +133,9 @@
 
 	@Override
 	public synchronized CompletionStage<SnapshotPage> readSnapshot(Topic topic, Optional<String> after) {
+		if (this.connectionsSilent) {
+			return new CompletableFuture<>();
+		}
 		if (this.unavailable) {
 			return CompletableFuture.failedStage(new RecordLogException("the log is unavailable"));
 		}
@@ -139,6 +156,9 @@
 	@Override
 	public synchronized CompletionStage<RecordBatch> read(Topic topic, long fromOffset, int waitMillis) {
 		throwIfRequested();
+		if (this.connectionsSilent) {
+			return new CompletableFuture<>();
+		}
 		if (this.unavailable) {
 			return CompletableFuture.failedStage(new RecordLogException("the log is unavailable"));
 		}
