generate.sh chooses the generators' builds by the kind of machine

On arm64 it fetches the builds for that kind and makes the committed code again without a difference (one run); x86-64 as before, not run here.

--- a/mustardlane-protocol/generate.sh
+++ b/mustardlane-protocol/generate.sh
@@ -3,10 +3,15 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 repository="${MAVEN_REPOSITORY:-$HOME/.m2/repository}"
-mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:get -Dartifact=com.google.protobuf:protoc:4.36.2:exe:linux-x86_64
-mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:get -Dartifact=io.grpc:protoc-gen-grpc-java:1.83.0:exe:linux-x86_64
-protoc="$repository/com/google/protobuf/protoc/4.36.2/protoc-4.36.2-linux-x86_64.exe"
-plugin="$repository/io/grpc/protoc-gen-grpc-java/1.83.0/protoc-gen-grpc-java-1.83.0-linux-x86_64.exe"
+case "$(uname -m)" in
+	x86_64) platform=linux-x86_64 ;;
+	aarch64) platform=linux-aarch_64 ;;
+	*) echo "no builds of the generators for $(uname -m)" >&2; exit 2 ;;
+esac
+mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:get "-Dartifact=com.google.protobuf:protoc:4.36.2:exe:$platform"
+mvn -q -B org.apache.maven.plugins:maven-dependency-plugin:3.8.1:get "-Dartifact=io.grpc:protoc-gen-grpc-java:1.83.0:exe:$platform"
+protoc="$repository/com/google/protobuf/protoc/4.36.2/protoc-4.36.2-$platform.exe"
+plugin="$repository/io/grpc/protoc-gen-grpc-java/1.83.0/protoc-gen-grpc-java-1.83.0-$platform.exe"
 chmod +x "$protoc" "$plugin"
 rm -rf src/main/java/org/mustardlane/protocol
 mkdir -p src/main/java
