--- a/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CauseFinder.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/quarantine/CauseFinder.java
@@ -93,19 +93,35 @@
 				.filter(filter)
 				.forEach((feature) -> byFeature.computeIfAbsent(feature, (absent) -> new ArrayList<>()).add(suspicion));
 		}
-		return byFeature.values()
-			.stream()
-			.filter(this::isCandidate)
-			.map((ofFeature) -> Candidate.of(ofFeature, filter))
-			.filter((candidate) -> candidate.crashCount() >= MIN_CRASHES)
-			.toList();
+		List<Candidate> candidates = new ArrayList<>();
+		for (List<Suspicion> ofFeature : byFeature.values()) {
+			Candidate candidate = Candidate.of(ofFeature, filter);
+			if (isCandidate(ofFeature) && explainsEnoughCrashes(candidate, ofFeature)) {
+				candidates.add(candidate);
+			}
+		}
+		return candidates;
 	}
 
 	private boolean isCandidate(List<Suspicion> ofFeature) {
 		boolean isUnexplained = ofFeature.stream().map(Suspicion::crash).anyMatch(this.unexplained::contains);
-		boolean othersStarted = ofFeature.stream().anyMatch(Suspicion::othersStarted);
 		long targetCount = ofFeature.stream().map((suspicion) -> suspicion.call().target()).distinct().count();
-		return isUnexplained && othersStarted && targetCount > 1;
+		return isUnexplained && targetCount > 1;
+	}
+
+	private boolean explainsEnoughCrashes(Candidate candidate, List<Suspicion> ofFeature) {
+		boolean othersStarted = ofFeature.stream().anyMatch(Suspicion::othersStarted);
+		return candidate.crashCount() >= MIN_CRASHES
+				&& (othersStarted || (candidate.isContent() && isAlone(ofFeature)));
+	}
+
+	// In a quiet time no other responses show that the targets are sound. But then no
+	// other calls are lost either, as they would be if the targets crashed by themselves.
+	private boolean isAlone(List<Suspicion> ofFeature) {
+		Set<Crash> crashes = ofFeature.stream().map(Suspicion::crash).collect(Collectors.toSet());
+		return this.suspicions.stream()
+			.filter((suspicion) -> crashes.contains(suspicion.crash()))
+			.allMatch(ofFeature::contains);
 	}
 
 	/**
@@ -137,29 +153,39 @@
 			return new Candidate(common, countSeparateCrashes(ofFeature));
 		}
 
+		private boolean isContent() {
+			return this.features.stream().allMatch(CallFeature::isContent);
+		}
+
 		private boolean isMoreSpecificThan(Candidate other) {
 			return this.features.size() > other.features.size() && this.features.containsAll(other.features);
 		}
 
-		// A call that was sent only after the last crash cannot have met the same event.
 		private static int countSeparateCrashes(List<Suspicion> ofFeature) {
 			List<Suspicion> inOrder = ofFeature.stream()
 				.sorted(Comparator.comparingLong((suspicion) -> suspicion.crash().atMillis()))
 				.toList();
-			int count = 0;
-			long lastMillis = 0;
+			int count = 1;
+			Suspicion last = inOrder.get(0);
 			for (Suspicion suspicion : inOrder) {
-				long atMillis = suspicion.crash().atMillis();
-				boolean isSeparate = atMillis - lastMillis >= CRASH_SEPARATION_MILLIS
-						|| (atMillis > lastMillis && suspicion.call().sentAtMillis() >= lastMillis);
-				if (count == 0 || isSeparate) {
+				if (isSeparate(suspicion, last)) {
 					count++;
-					lastMillis = atMillis;
+					last = suspicion;
 				}
 			}
 			return count;
 		}
 
+		// A call that was sent only after the last crash cannot have met the same event.
+		// For one call that was sent on, this holds whatever the reports of other routers
+		// say about the times.
+		private static boolean isSeparate(Suspicion suspicion, Suspicion last) {
+			long sinceLastMillis = suspicion.crash().atMillis() - last.crash().atMillis();
+			boolean isSentOn = suspicion.call().requestId().equals(last.call().requestId())
+					|| suspicion.call().sentAtMillis() >= last.crash().atMillis();
+			return sinceLastMillis >= CRASH_SEPARATION_MILLIS || (sinceLastMillis > 0 && isSentOn);
+		}
+
 	}
 
 }
--- a/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/quarantine/CrashEvidenceTests.java
@@ -214,6 +214,48 @@
 		assertEquals(findCause(), contentCause("dead"));
 	}
 
+	// Guards against a request that crashes targets and is never recognised, because no
+	// other calls are answered in a quiet time (QuietCrash of the review).
+	@Test
+	public void contentIsTheCauseInAQuietTimeIfNothingElseIsLost() {
+		for (int crash = 1; crash <= 3; crash++) {
+			assertEquals(findCause(), Optional.empty());
+			loseContent("t-" + crash % 2, "dead", false, crash * 2000 - 50, crash * 2000);
+		}
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
+	// Guards against crashes under one call that count as one, because reports of other
+	// routers take different times (QuietCrash of the review).
+	@Test
+	public void crashesUnderOneCallThatWasSentOnCountApart() {
+		for (int attempt = 1; attempt <= 3; attempt++) {
+			long lostAtMillis = 1000 + attempt * 20;
+			LostCall call = new LostCall(new TargetId("t-" + attempt), "r-sent-on", List.of(), List.of(content("dead")),
+					false, lostAtMillis - 25, lostAtMillis);
+			assertTrue(this.evidence.addLostCall(call, lostAtMillis));
+		}
+		startOthers(1500);
+		assertEquals(findCause(), contentCause("dead"));
+	}
+
+	@Test
+	public void contentIsNoCauseInAQuietTimeIfOtherCallsAreLostWithIt() {
+		for (int crash = 1; crash <= 6; crash++) {
+			loseContent("t-" + crash % 3, "repeated", false, crash * 2000 - 50, crash * 2000);
+			loseContent("t-" + crash % 3, "other " + crash, false, crash * 2000 - 50, crash * 2000);
+		}
+		assertEquals(findCause(), Optional.empty());
+	}
+
+	@Test
+	public void contentThatIsLostWithOneTargetOnlyIsNoCause() {
+		for (int crash = 1; crash <= 6; crash++) {
+			loseContent("t-1", "repeated", false, crash * 2000 - 50, crash * 2000);
+		}
+		assertEquals(findCause(), Optional.empty());
+	}
+
 	@Test
 	public void contentOfCallsThatWaitAtTargetsThatCrashTogetherIsNoCause() {
 		for (int target = 1; target <= 6; target++) {
