Addresses of other routers are read once the gossip can take them

The routers did not know each other: the topic of their addresses was read before the gossip existed, which drops them, and is read again after 15 s.

Change: the topic is read once the gossip has started. Shares of a target's limit and of the retry budget, and evidence of crashes, depend on it.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -216,7 +216,6 @@
 			delayPeerStart();
 		}
 		openDecisionLog();
-		this.loop.execute(this.routersFollower::start);
 		startPeers();
 		startHealthServer(this.settings.metricsAddress());
 		this.loop.execute(this::openMetrics);
@@ -268,6 +267,8 @@
 		PeerAddress ownAddress = new PeerAddress(address.getHostString(), server.port());
 		this.peerPort = server.port();
 		this.loop.execute(() -> gossip.start(ownAddress));
+		// Only now, as the addresses that are read go to the gossip.
+		this.loop.execute(this.routersFollower::start);
 		this.loop.execute(() -> this.addressPublisher.publish(ownAddress.host() + ":" + ownAddress.port()));
 	}
 
