--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -91,7 +91,8 @@
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
-					this.load.limit().toLogText());
+					this.load.limit().toLogText(), "elapsedMillis", this.exchange.elapsedMillis(), "loopLagging",
+					this.context.isLoopLagging());
 		TargetCall targetCall = this.context.client()
 			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -173,6 +173,14 @@
 		return this.routedCall.route();
 	}
 
+	/**
+	 * Returns the time since the head of the call was read.
+	 * @return the time in milliseconds
+	 */
+	long elapsedMillis() {
+		return this.context.nowMillis() - this.routedCall.call().arrivedAtMillis();
+	}
+
 	/**
 	 * Starts to forward a response.
 	 * @param head head of the response
@@ -180,9 +188,7 @@
 	 */
 	void startResponse(ResponseHead head, TargetEntry target) {
 		this.possibleExecutions++;
-		this.context.metrics()
-			.recordResponseStart(this.routedCall.pool(),
-					this.context.nowMillis() - this.routedCall.call().arrivedAtMillis());
+		this.context.metrics().recordResponseStart(this.routedCall.pool(), elapsedMillis());
 		if (head.isSuccess()) {
 			this.routedCall.prefix()
 				.ifPresent((prefix) -> this.context.prefixHolders()
@@ -384,7 +390,7 @@
 	private void endCall(CallOutcome outcome, int status, String detail) {
 		this.ended = true;
 		this.deadlineTimer.ifPresent((timer) -> timer.cancel(false));
-		long elapsedMillis = this.context.nowMillis() - this.routedCall.call().arrivedAtMillis();
+		long elapsedMillis = elapsedMillis();
 		this.context.metrics().recordCall(outcome, this.routedCall.pool(), elapsedMillis);
 		this.context.log()
 			.write(LogEvent.CALL_ENDED, "requestId", requestId(), "route", route().name(), "pool",
