--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -38,8 +38,6 @@
  */
 final class Exchange implements OpenCall {
 
-	private static final int LAG_DELAY_MILLIS = 2;
-
 	private final ExchangeContext context;
 
 	private final RoutedCall routedCall;
@@ -48,6 +46,8 @@
 
 	private final Consumer<Exchange> onEnd;
 
+	private final CallerPresence callerPresence;
+
 	private final ResponseSink responseSink;
 
 	private final CallTargets callTargets;
@@ -71,25 +71,35 @@
 		this.routedCall = routedCall;
 		this.caller = caller;
 		this.onEnd = onEnd;
+		this.callerPresence = new CallerPresence(caller, context.clock());
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
 		this.evidence = new CallEvidence(context, routedCall.call().head().requestId(), routedCall.features());
 	}
 
 	/**
-	 * Sends the call to the first target. If the event loop lags, it first reads from its
-	 * sockets once more: the caller may have disconnected long ago.
+	 * Sends the call to the first target, once the read that has completed the call has
+	 * ended.
 	 */
 	void start() {
-		if (this.context.isLoopLagging()) {
-			this.context.loop().schedule(this::startNow, LAG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-			return;
+		this.context.loop().execute(this::startSafely);
+	}
+
+	// An exception outside the pipeline would leave the caller without a response.
+	private void startSafely() {
+		try {
+			startNow();
+		}
+		catch (RuntimeException ex) {
+			this.context.log().warn(LogEvent.UNEXPECTED_ERROR, "task", "call", "reason", ex);
+			if (!this.ended) {
+				failCall(HttpResponseStatus.BAD_GATEWAY, "Unexpected error");
+			}
 		}
-		startNow();
 	}
 
 	private void startNow() {
-		if (this.ended) {
+		if (this.ended || !this.callerPresence.isConnected()) {
 			return;
 		}
 		long remainingMillis = remainingMillis();
@@ -108,7 +118,7 @@
 	}
 
 	private void dispatch() {
-		if (this.ended) {
+		if (this.ended || !this.callerPresence.isConnected()) {
 			return;
 		}
 		Optional<QuarantineMatch> quarantine = this.evidence.findQuarantine();
@@ -156,7 +166,7 @@
 
 	private Optional<HttpRequest> createRequest(TargetEntry target, Optional<TargetEntry> copySource) {
 		long remainingMillis = remainingMillis();
-		if (remainingMillis <= 0) {
+		if (remainingMillis <= 0 || !this.callerPresence.isConnected()) {
 			return Optional.empty();
 		}
 		Dispatch dispatch = new Dispatch(target.id(), remainingMillis,
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -146,6 +146,10 @@
 		return this.client;
 	}
 
+	MonotonicClock clock() {
+		return this.clock;
+	}
+
 	long nowMillis() {
 		return this.clock.nowMillis();
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerChannel.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerChannel.java
@@ -53,4 +53,11 @@
 	 */
 	boolean isWritable();
 
+	/**
+	 * Reads what has arrived from the caller, and returns whether its connection is still
+	 * open. Must not be called while the channel of the caller is being read.
+	 * @return false once the end of the connection has been read
+	 */
+	boolean readAndCheckConnection();
+
 }
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerResponse.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/CallerResponse.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -133,6 +134,14 @@
 		return this.channel.isWritable();
 	}
 
+	@Override
+	public boolean readAndCheckConnection() {
+		if (this.channel.isActive() && this.channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+			unsafe.read();
+		}
+		return this.channel.isActive();
+	}
+
 	/**
 	 * Notifies the call that its caller has disconnected.
 	 */
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeCaller.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeCaller.java
@@ -60,6 +60,11 @@
 		return true;
 	}
 
+	@Override
+	public boolean readAndCheckConnection() {
+		return true;
+	}
+
 	/**
 	 * Returns the status of the response.
 	 * @return the status, 0 if no response was started
