--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -106,6 +106,8 @@
 
 	private final DecisionLog log;
 
+	private final GossipTraffic traffic;
+
 	private boolean pushScheduled;
 
 	private long lastPushMillis;
@@ -135,6 +137,7 @@
 		this.loop = loop;
 		this.clock = clock;
 		this.log = log;
+		this.traffic = new GossipTraffic(log, clock.nowMillis());
 	}
 
 	/**
@@ -179,6 +182,7 @@
 	}
 
 	private void runRound() {
+		this.traffic.reportIfDue(this.clock.nowMillis());
 		boolean isUrgent = this.routingState.needsPeerRecords();
 		new GuardedTask(TASK_NAME, () -> contactPeer(isUrgent), this.log).run();
 		int intervalMillis = isUrgent ? URGENT_INTERVAL_MILLIS : INTERVAL_MILLIS;
@@ -194,6 +198,7 @@
 	}
 
 	private void sendDigest(PeerAddress peer, KnowledgeDigest digest) {
+		this.traffic.recordSent(digest.getNewsOnly());
 		KnowledgeServiceGrpc.newStub(channelTo(peer))
 			.withDeadlineAfter(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.exchange(digest, new StreamObserver<>() {
@@ -262,6 +267,7 @@
 
 	@Override
 	public void exchange(KnowledgeDigest request, StreamObserver<KnowledgeDigest> responseObserver) {
+		this.traffic.recordReceived();
 		applyDigest(request);
 		KnowledgeDigest.Builder reply = request.getNewsOnly() ? createHeader() : createDigest().toBuilder();
 		if (request.getRoutesVersion() < this.routingState.routesVersion()) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -112,6 +112,11 @@
 	 */
 	PEER_CHANGED("peer-changed"),
 
+	/**
+	 * How many digests were exchanged with other routers in the last seconds.
+	 */
+	GOSSIP_TRAFFIC("gossip-traffic"),
+
 	/**
 	 * A call is deferred until the router has loaded its first routes.
 	 */
