--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetEntry.java
@@ -13,6 +13,7 @@
  * @param port TCP port
  * @param domain the failure domain of the target
  * @param slots maximum number of requests processed concurrently
+ * @param softwareVersion version of the software of the target; versions have no order
  * @param state whether the target accepts new requests
  * @param startedAtMillis start time of the target on the clock of the platform, 0 if
  * unknown
@@ -20,7 +21,7 @@
  * start, 0 if unknown
  */
 public record TargetEntry(TargetId id, PoolId pool, String host, int port, DomainId domain, int slots,
-		TargetState state, long startedAtMillis, long sequence) {
+		String softwareVersion, TargetState state, long startedAtMillis, long sequence) {
 
 	/**
 	 * Returns whether the target accepts new requests.
@@ -46,7 +47,8 @@
 	public boolean equals(Object other) {
 		return this == other || (other instanceof TargetEntry that && this.id.equals(that.id)
 				&& this.pool.equals(that.pool) && this.host.equals(that.host) && this.port == that.port
-				&& this.domain.equals(that.domain) && this.slots == that.slots && this.state == that.state
+				&& this.domain.equals(that.domain) && this.slots == that.slots
+				&& this.softwareVersion.equals(that.softwareVersion) && this.state == that.state
 				&& this.startedAtMillis == that.startedAtMillis && this.sequence == that.sequence);
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/directory/TargetDirectoryTests.java
@@ -30,7 +30,7 @@
 
 	private static DirectoryRecord entryRecord(String id, LogPosition position, TargetState state, long sequence) {
 		return new DirectoryRecord(new TargetId(id), position, Optional.of(new TargetEntry(new TargetId(id), POOL,
-				"127.0.0.1", 80, new DomainId("north"), 4, state, 0, sequence)));
+				"127.0.0.1", 80, new DomainId("north"), 4, "v1", state, 0, sequence)));
 	}
 
 	private static DirectoryRecord removal(String id, long offset) {
@@ -182,7 +182,7 @@
 
 	private static DirectoryRecord startedRecord(String id, long offset, long startedAtMillis) {
 		return new DirectoryRecord(new TargetId(id), new LogPosition(0, offset),
-				Optional.of(new TargetEntry(new TargetId(id), POOL, "127.0.0.1", 80, new DomainId("north"), 4,
+				Optional.of(new TargetEntry(new TargetId(id), POOL, "127.0.0.1", 80, new DomainId("north"), 4, "v1",
 						TargetState.READY, startedAtMillis, offset)));
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/DomainReachabilityTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/DomainReachabilityTests.java
@@ -73,8 +73,8 @@
 	}
 
 	private static TargetEntry target(String id, DomainId domain) {
-		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, domain, 8, TargetState.READY, 0,
-				0);
+		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, domain, 8, "v1",
+				TargetState.READY, 0, 0);
 	}
 
 }
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PlacementPolicyTests.java
@@ -38,7 +38,7 @@
 	private final PlacementPolicy prefixPolicy = new PrefixPolicy(this.leastLoadedPolicy);
 
 	private static TargetEntry target(String id, String domain) {
-		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId(domain), 8,
+		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId(domain), 8, "v1",
 				TargetState.READY, 0, 0);
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PrefixHoldersTests.java
@@ -28,7 +28,7 @@
 	private PrefixHolders holders;
 
 	private static TargetEntry engine(String id) {
-		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId("north"), 64,
+		return new TargetEntry(new TargetId(id), new PoolId("pool"), "127.0.0.1", 80, new DomainId("north"), 64, "v1",
 				TargetState.READY, 0, 0);
 	}
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/RateShareTests.java
@@ -25,7 +25,7 @@
 public class RateShareTests {
 
 	private static final TargetEntry TARGET = new TargetEntry(new TargetId("t-1"), new PoolId("pool"), "127.0.0.1", 80,
-			new DomainId("north"), 4, TargetState.READY, 0, 1);
+			new DomainId("north"), 4, "v1", TargetState.READY, 0, 1);
 
 	private static final int WINDOW_MILLIS = 4000;
 
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/RequestedPauseTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/RequestedPauseTests.java
@@ -18,7 +18,7 @@
 	private final TargetLoad load = new TargetLoad();
 
 	private static TargetEntry startedAt(long startedAtMillis) {
-		return new TargetEntry(new TargetId("t-1"), new PoolId("pool"), "127.0.0.1", 80, new DomainId("north"), 4,
+		return new TargetEntry(new TargetId("t-1"), new PoolId("pool"), "127.0.0.1", 80, new DomainId("north"), 4, "v1",
 				TargetState.READY, startedAtMillis, 1);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -89,7 +89,8 @@
 		this.lastReceivedMillis = this.sentAtMillis;
 		this.load.requestStarted(this.lastReceivedMillis);
 		this.context.log()
-			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
+			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "version",
+					this.target.softwareVersion(), "resumes", this.exchange.resumedRequestId(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
 					this.load.limit().toLogText(), "elapsedMillis", this.exchange.elapsedMillis(), "loopLagging",
 					this.context.isLoopLagging());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -27,6 +27,7 @@
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.Dispatch;
 import org.mustardlane.gateway.wire.ResponseHead;
+import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * One call from its arrival to its outcome.
@@ -179,6 +180,14 @@
 		return this.routedCall.call().head().requestId();
 	}
 
+	/**
+	 * Returns which request of its caller the call continues.
+	 * @return the id of that request, empty if the call starts anew or names none
+	 */
+	String resumedRequestId() {
+		return this.routedCall.call().head().resumption().flatMap(Resumption::requestId).orElse("");
+	}
+
 	Route route() {
 		return this.routedCall.route();
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/CallHead.java
@@ -18,9 +18,10 @@
  * if the caller states none
  * @param prefix prefix of the prompt that is shared with other calls, empty if there is
  * none
+ * @param resumption the stream that the call continues, empty if it starts anew
  */
 public record CallHead(String requestId, String host, String path, Optional<String> apiKey, OptionalLong timeoutMillis,
-		Optional<SharedPrefix> prefix) {
+		Optional<SharedPrefix> prefix, Optional<Resumption> resumption) {
 
 	/**
 	 * Returns the parts of the prompt that other calls share.
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -88,7 +88,7 @@
 
 	private OpenCall openCall() throws InterruptedException, ExecutionException {
 		CallHead head = new CallHead("r-1", "h.example", "/x/1", Optional.empty(), OptionalLong.of(900),
-				Optional.empty());
+				Optional.empty(), Optional.empty());
 		Call call = new Call(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"), head, new byte[0],
 				this.nowMillis.get());
 		return onLoop(() -> this.router.open(call, this.caller));
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallFeaturesTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallFeaturesTests.java
@@ -34,7 +34,8 @@
 
 	private static CallFeatures features(String requestId, String uri, String key, String body,
 			Optional<SharedPrefix> prefix) {
-		CallHead head = new CallHead(requestId, "h.example", "/x/", Optional.of(key), OptionalLong.of(1000), prefix);
+		CallHead head = new CallHead(requestId, "h.example", "/x/", Optional.of(key), OptionalLong.of(1000), prefix,
+				Optional.empty());
 		return CallFeatures.of(new Call(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, uri), head,
 				body.getBytes(StandardCharsets.UTF_8), 0));
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/knowledge/RoutingStateTests.java
@@ -157,8 +157,8 @@
 		@Override
 		public TargetEntry decodeTarget(String key, byte[] body) throws MalformedRecordException {
 			failIfOdd(key);
-			return new TargetEntry(new TargetId(key), POOL, "127.0.0.1", 1, new DomainId("north"), 4, TargetState.READY,
-					0, 0);
+			return new TargetEntry(new TargetId(key), POOL, "127.0.0.1", 1, new DomainId("north"), 4, "v1",
+					TargetState.READY, 0, 0);
 		}
 
 		private static void failIfOdd(String key) throws MalformedRecordException {
--- a/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/Simulation.java
+++ b/mustardlane-proof/src/main/java/org/mustardlane/proof/deployment/Simulation.java
@@ -110,7 +110,7 @@
 		TargetId id = new TargetId("engine-" + number);
 		SimulatedEngine engine = new SimulatedEngine(
 				new TargetEntry(id, POOL, "10.0.0.1", FIRST_PORT + number, domain(number),
-						this.fleet.engineSettings().slots(), TargetState.READY, 0, 0),
+						this.fleet.engineSettings().slots(), "v1", TargetState.READY, 0, 0),
 				this.fleet.engineSettings(), this.events);
 		this.engines.add(engine);
 		this.enginesById.put(id, engine);
