A stream that breaks off goes on only at its software version within one response (ORDER)

Callers saw one response with events of two versions: the router resumed a stream at any target, as it did not know versions. Once the first event is forwarded, further attempts go to targets of the same version; where there is none, the stream is broken off and its caller may take it up.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -236,6 +236,9 @@
 			failAttempt(AttemptFailure.BROKEN, "the bytes are no events with increasing ids");
 			return;
 		}
+		if (previousEventId.isEmpty() && sink.lastEventId().isPresent()) {
+			this.exchange.recordFirstEvent(this.target);
+		}
 		// Comments and parts of an event are no progress of a stream.
 		if (!sink.isEventStream() || !sink.lastEventId().equals(previousEventId)) {
 			this.lastReceivedMillis = this.context.nowMillis();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
@@ -14,7 +14,8 @@
 /**
  * The targets that one call may be sent to. Each target is tried once, and only while
  * this router may send it requests: within the limit of the target, and not during a
- * pause that it has asked for.
+ * pause that it has asked for. A stream that has begun goes on only at targets of the
+ * software version that began it.
  *
  * <p>
  * Confined to the event loop of the daemon.
@@ -27,6 +28,8 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
+	private Optional<String> requiredVersion = Optional.empty();
+
 	CallTargets(ExchangeContext context, RoutedCall routedCall) {
 		this.context = context;
 		this.routedCall = routedCall;
@@ -51,7 +54,12 @@
 	}
 
 	private List<TargetEntry> poolTargets() {
-		return this.context.routingState().targets().readyTargets(this.routedCall.pool());
+		List<TargetEntry> targets = this.context.routingState().targets().readyTargets(this.routedCall.pool());
+		if (this.requiredVersion.isEmpty()) {
+			return targets;
+		}
+		String version = this.requiredVersion.get();
+		return targets.stream().filter((target) -> target.softwareVersion().equals(version)).toList();
 	}
 
 	private long millisUntilAdmitted(TargetEntry target) {
@@ -83,6 +91,14 @@
 		return poolTargets().stream().mapToLong(this::millisUntilAdmitted).min().orElse(0);
 	}
 
+	/**
+	 * Excludes targets of other software versions from further attempts.
+	 * @param version software version that began the stream
+	 */
+	void requireVersion(String version) {
+		this.requiredVersion = Optional.of(version);
+	}
+
 	/**
 	 * Excludes a target from further attempts.
 	 * @param target the target
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -216,6 +216,14 @@
 		this.responseSink.startResponse(head);
 	}
 
+	/**
+	 * Records that the first event of a stream was forwarded.
+	 * @param target target that sent the event
+	 */
+	void recordFirstEvent(TargetEntry target) {
+		this.callTargets.requireVersion(target.softwareVersion());
+	}
+
 	ResponseSink responseSink() {
 		return this.responseSink;
 	}
