--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -59,6 +59,12 @@
 	 */
 	private static final int PUSH_DELAY_MILLIS = 50;
 
+	/**
+	 * News may come without a pause while many calls are lost. Each router also receives
+	 * what others send, and forwards it.
+	 */
+	private static final int MIN_PUSH_INTERVAL_MILLIS = 400;
+
 	/**
 	 * Evidence that regular digests hold, in addition to what is pushed once.
 	 */
@@ -160,8 +166,9 @@
 			return;
 		}
 		this.pushScheduled = true;
-		this.loop.schedule(new GuardedTask(TASK_NAME, this::pushDigest, this.log), PUSH_DELAY_MILLIS,
-				TimeUnit.MILLISECONDS);
+		long waitMillis = this.lastPushMillis + MIN_PUSH_INTERVAL_MILLIS - this.clock.nowMillis();
+		this.loop.schedule(new GuardedTask(TASK_NAME, this::pushDigest, this.log),
+				Math.max(PUSH_DELAY_MILLIS, waitMillis), TimeUnit.MILLISECONDS);
 	}
 
 	@Override
