Streams that callers take up go on only at the software version that began them (ORDER)

Callers' answers were joined from two versions: nobody read Resumes, so a take-up went to any target, and after a loss of all routers nobody could know. Now - each router remembers for a minute at which pool and version its resumable streams began, - while a pool has several versions, or had in the last minute, routers store these origins in a topic of the platform's log (several a write, at most 350 writes a second of all routers), which others read only for a take-up they don't know, - which versions serve is stored, too, so that a router that has just started knows of one that has left meanwhile, - a take-up whose origin is not found within half a second is refused at once with 503 and without Retry-After.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -63,6 +63,8 @@
 
 	private Map<PoolId, List<TargetEntry>> readyByPool = Map.of();
 
+	private Map<PoolId, Set<String>> softwareVersions = Map.of();
+
 	private OptionalLong epoch = OptionalLong.empty();
 
 	private long copiedEntriesExpiredMillis;
@@ -324,13 +326,27 @@
 			discardOldRemovals();
 		}
 		Map<PoolId, List<TargetEntry>> entriesByPool = new HashMap<>();
+		Map<PoolId, Set<String>> versionsByPool = new HashMap<>();
 		for (DirectoryRecord knownRecord : this.records.values()) {
+			knownRecord.entry()
+				.ifPresent((entry) -> versionsByPool.computeIfAbsent(entry.pool(), (pool) -> new HashSet<>())
+					.add(entry.softwareVersion()));
 			knownRecord.entry()
 				.filter(this::acceptsRequests)
 				.ifPresent(
 						(entry) -> entriesByPool.computeIfAbsent(entry.pool(), (pool) -> new ArrayList<>()).add(entry));
 		}
 		this.readyByPool = entriesByPool;
+		this.softwareVersions = versionsByPool;
+	}
+
+	/**
+	 * Returns the software versions of all targets that have not been removed, whether
+	 * they accept new requests or not.
+	 * @return the versions by pool
+	 */
+	public Map<PoolId, Set<String>> softwareVersions() {
+		return this.softwareVersions;
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -45,6 +45,7 @@
 import org.mustardlane.gateway.report.GuardedTask;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.report.LogRateLimiter;
+import org.mustardlane.gateway.resumption.StreamVersions;
 import org.mustardlane.gateway.target.TargetClient;
 import org.mustardlane.router.JavaLoggingBridge;
 import org.mustardlane.router.metrics.HealthServer;
@@ -104,6 +105,8 @@
 
 	private final TargetClient targetClient;
 
+	private final StreamVersions streamVersions;
+
 	private final ExchangeContext context;
 
 	private final CallRouter callRouter;
@@ -143,17 +146,20 @@
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
 		this.quarantine = new CallQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
+		this.recordLog = adapter.openLog(this.eventLoops);
+		this.streamVersions = new StreamVersions(this.routingState.targets(), this.recordLog, this.loop, this.clock,
+				this.log, () -> fleetPosition().routers());
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
-				this::announceNews, this.loopLag, this.quarantine, settings.domain(),
+				this::announceNews, this.loopLag, this.quarantine, this.streamVersions, settings.domain(),
 				() -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this.shutdown::deadlineMillis);
 		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
 				this.shutdown::isStarted, this.clock, this.log);
-		this.recordLog = adapter.openLog(this.eventLoops);
 		LogEpoch logEpoch = new LogEpoch();
+		logEpoch.addRestorationListener(this.streamVersions::onLogRestored);
 		LogConnections connections = new LogConnections(this.log);
 		this.addressPublisher = new AddressPublisher(this.recordLog, settings.vm(), this.loop, this.log);
 		this.routesFollower = new TopicFollower(this.recordLog, Topic.ROUTES,
@@ -207,6 +213,7 @@
 		startHealthServer(this.settings.healthAddress());
 		this.loop.execute(this.routesFollower::start);
 		this.loop.execute(this.targetsFollower::start);
+		this.loop.execute(this.streamVersions::start);
 		this.loop.execute(this.quarantinesFollower::start);
 		this.loop.scheduleAtFixedRate(new GuardedTask("maintenance", this::runMaintenance, this.log),
 				MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -279,6 +286,7 @@
 	private void runMaintenance() {
 		this.loopLag.tick(this.clock.nowMillis());
 		this.routingState.expireTargets();
+		this.streamVersions.observe();
 		this.quarantine.evaluate();
 		this.context.loads().retain(this.routingState.targets().targetIds());
 		this.targetClient.closeExpired();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -15,10 +15,13 @@
 import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.PoolSpec;
+import org.mustardlane.core.route.RequestSemantics;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.core.route.ShutdownRules;
 import org.mustardlane.core.route.StartupRules;
+import org.mustardlane.core.route.WeightedPool;
+import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
@@ -28,6 +31,7 @@
 import org.mustardlane.gateway.quarantine.QuarantineMatch;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
+import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * Finds the route of each call and starts its exchange.
@@ -138,11 +142,7 @@
 		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis())
 			.or(() -> findQuarantineRejection(features.all()));
 		if (rejection.isPresent()) {
-			this.context.log()
-				.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status",
-						rejection.get().status(), "reason", rejection.get().reason());
-			caller.reject(rejection.get());
-			return EndedCall.INSTANCE;
+			return reject(call, caller, rejection.get());
 		}
 		return this.context.routingState().isComplete() ? startExchange(call, features, caller) : defer(call, caller);
 	}
@@ -160,10 +160,55 @@
 	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller) {
 		RouteTable table = this.context.routingState().routes().orElseThrow();
 		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
-		PoolId pool = route.pickPool(this.context.nextRandom());
+		Optional<Resumption> resumption = call.head().resumption();
+		if (resumption.isPresent() && route.semantics() == RequestSemantics.RESUMABLE_STREAM) {
+			return resume(call, features, caller, resumption.get(), route);
+		}
+		return startExchange(call, features, caller, table, route, Optional.empty());
+	}
+
+	private OpenCall resume(Call call, CallFeatures features, CallerChannel caller, Resumption resumption,
+			Route route) {
+		List<PoolId> pools = route.pools().stream().map(WeightedPool::pool).toList();
+		ResumedCall resumedCall = new ResumedCall((origin) -> openAt(call, features, caller, origin));
+		this.context.streamVersions().find(resumption, pools, resumedCall::open);
+		return resumedCall;
+	}
+
+	// The routes may have changed since the call arrived.
+	private OpenCall openAt(Call call, CallFeatures features, CallerChannel caller, Optional<PoolVersion> origin) {
+		Optional<RouteTable> table = this.context.routingState().routes();
+		Optional<Route> route = table.flatMap((routes) -> routes.find(call.head().host(), call.head().path()));
+		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis())
+			.or(() -> checkOrigin(origin, route.orElseThrow()));
+		if (rejection.isPresent()) {
+			return reject(call, caller, rejection.get());
+		}
+		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin);
+	}
+
+	private static Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
+		boolean isKnown = origin
+			.filter((version) -> route.pools().stream().anyMatch((pool) -> pool.pool().equals(version.pool())))
+			.isPresent();
+		return isKnown ? Optional.empty() : Optional.of(Rejection
+			.permanent(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "It is not known where the stream began"));
+	}
+
+	private OpenCall reject(Call call, CallerChannel caller, Rejection rejection) {
+		this.context.log()
+			.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status", rejection.status(),
+					"reason", rejection.reason());
+		caller.reject(rejection);
+		return EndedCall.INSTANCE;
+	}
+
+	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller, RouteTable table,
+			Route route, Optional<PoolVersion> origin) {
+		PoolId pool = origin.map(PoolVersion::pool).orElseGet(() -> route.pickPool(this.context.nextRandom()));
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
-				features, table.version());
+				origin.map(PoolVersion::softwareVersion), features, table.version());
 		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
 		exchange.start();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
@@ -28,11 +28,12 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
-	private Optional<String> requiredVersion = Optional.empty();
+	private Optional<String> requiredVersion;
 
 	CallTargets(ExchangeContext context, RoutedCall routedCall) {
 		this.context = context;
 		this.routedCall = routedCall;
+		this.requiredVersion = routedCall.softwareVersion();
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -17,7 +17,9 @@
 import org.mustardlane.core.retry.NextStep;
 import org.mustardlane.core.retry.RetryRules;
 import org.mustardlane.core.route.Organisation;
+import org.mustardlane.core.route.RequestSemantics;
 import org.mustardlane.core.route.Route;
+import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
@@ -222,6 +224,11 @@
 	 */
 	void recordFirstEvent(TargetEntry target) {
 		this.callTargets.requireVersion(target.softwareVersion());
+		boolean isBeginning = this.routedCall.call().head().resumption().isEmpty();
+		if (isBeginning && route().semantics() == RequestSemantics.RESUMABLE_STREAM) {
+			this.context.streamVersions()
+				.recordFirstEvent(requestId(), new PoolVersion(target.pool(), target.softwareVersion()));
+		}
 	}
 
 	ResponseSink responseSink() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -22,6 +22,7 @@
 import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
+import org.mustardlane.gateway.resumption.StreamVersions;
 import org.mustardlane.gateway.target.TargetClient;
 import org.mustardlane.gateway.wire.WireDialect;
 
@@ -67,6 +68,8 @@
 
 	private final CallQuarantine quarantine;
 
+	private final StreamVersions streamVersions;
+
 	private final Map<PoolId, RetryBudget> retryBudgets = new HashMap<>();
 
 	/**
@@ -84,13 +87,14 @@
 	 * @param newsAnnouncer lets other routers know at once what this router has learnt
 	 * @param loopLag detects that the event loop lags
 	 * @param quarantine refuses calls that crash targets
+	 * @param streamVersions tells at which software versions streams may go on
 	 * @param domain failure domain of this router
 	 * @param random supplies random numbers from 0 (inclusive) to 1 (exclusive)
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
 			Supplier<FleetPosition> fleetPosition, Runnable newsAnnouncer, LoopLag loopLag, CallQuarantine quarantine,
-			DomainId domain, DoubleSupplier random) {
+			StreamVersions streamVersions, DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
 		this.dialect = dialect;
@@ -103,6 +107,7 @@
 		this.newsAnnouncer = newsAnnouncer;
 		this.loopLag = loopLag;
 		this.quarantine = quarantine;
+		this.streamVersions = streamVersions;
 		this.domain = domain;
 		this.random = random;
 		this.placementPolicy = new PrefixPolicy(new LeastLoadedPolicy(random));
@@ -194,6 +199,10 @@
 		return this.quarantine;
 	}
 
+	StreamVersions streamVersions() {
+		return this.streamVersions;
+	}
+
 	PrefixHolders prefixHolders() {
 		return this.prefixHolders;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
@@ -20,11 +20,13 @@
  * no known key
  * @param engine capabilities of the engines of the pool, empty for a pool of plain
  * services
+ * @param softwareVersion version that the targets of the call must have because they
+ * began its stream, empty if any may take the call
  * @param features features that may crash the targets that run the call
  * @param routesVersion version of the routes that was used
  */
 record RoutedCall(Call call, Route route, PoolId pool, Optional<Organisation> organisation, Optional<EngineSpec> engine,
-		CallFeatures features, long routesVersion) {
+		Optional<String> softwareVersion, CallFeatures features, long routesVersion) {
 
 	/**
 	 * Returns whether the engines of the pool copy prompt prefixes from each other.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/LogEpoch.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/LogEpoch.java
@@ -22,7 +22,7 @@
 	 * Adds a listener.
 	 * @param listener called after each restoration of the log
 	 */
-	void addRestorationListener(Runnable listener) {
+	public void addRestorationListener(Runnable listener) {
 		this.restorationListeners.add(listener);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Topic.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/Topic.java
@@ -23,6 +23,17 @@
 	/**
 	 * Quarantines of parts of prompts, published by routers.
 	 */
-	QUARANTINES
+	QUARANTINES,
+
+	/**
+	 * Software versions that serve, published by routers.
+	 */
+	POOL_VERSIONS,
+
+	/**
+	 * Software versions at which streams began, published by routers. Its records have no
+	 * keys and expire.
+	 */
+	STREAM_ORIGINS
 
 }
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -36,6 +36,7 @@
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.LogRateLimiter;
+import org.mustardlane.gateway.resumption.StreamVersions;
 import org.mustardlane.gateway.standin.FakeCaller;
 import org.mustardlane.gateway.wire.CallHead;
 import org.mustardlane.gateway.wire.MalformedRecordException;
@@ -73,6 +74,7 @@
 				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> new FleetPosition(0, 1),
 				() -> {
 				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
+				new StreamVersions(this.routingState.targets(), null, this.loop, this.nowMillis::get, log, () -> 1),
 				new DomainId("north"), () -> 0.5);
 		this.router = new CallRouter(context, OptionalLong::empty);
 	}
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/RoutedCallTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/RoutedCallTests.java
@@ -28,7 +28,8 @@
 	private static RoutedCall call(Optional<Organisation> organisation, Optional<EngineSpec> engine) {
 		Route route = new Route("r", "h", "/", RequestSemantics.STREAM, 1000, 100, 0, 2,
 				List.of(new WeightedPool(POOL, 1)), 1, false);
-		return new RoutedCall(null, route, POOL, organisation, engine, new CallFeatures(List.of(), List.of()), 1);
+		return new RoutedCall(null, route, POOL, organisation, engine, Optional.empty(),
+				new CallFeatures(List.of(), List.of()), 1);
 	}
 
 	private static Optional<Organisation> organisation(OptionalInt priority) {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/standin/FakeRecordLog.java
@@ -163,11 +163,11 @@
 			return CompletableFuture.failedStage(new RecordLogException("the log is unavailable"));
 		}
 		if (fromOffset < this.firstRetainedOffsets.getOrDefault(topic, 0L) || fromOffset > topicRecords(topic).size()) {
-			return CompletableFuture.completedStage(RecordBatch.forExpiredOffset());
+			return CompletableFuture.completedStage(RecordBatch.forExpiredOffset(new LogPosition(0, 0)));
 		}
 		List<KeyedRecord> topicRecords = topicRecords(topic);
 		RecordBatch batch = new RecordBatch(topicRecords.subList((int) fromOffset, topicRecords.size()), endOf(topic),
-				false);
+				true, false);
 		if (batch.records().isEmpty() && waitMillis > 0) {
 			// A long poll of an idle topic returns without records after a short time.
 			return new CompletableFuture<RecordBatch>().completeOnTimeout(batch, Math.min(waitMillis, 20),
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
@@ -66,6 +66,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mustardlane_StatedLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mustardlane_StreamOriginsRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mustardlane_StreamOriginsRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mustardlane_StreamOriginGroup_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mustardlane_StreamOriginGroup_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mustardlane_PoolVersionRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mustardlane_PoolVersionRecord_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -104,10 +119,16 @@
       "\022\r\n\005epoch\030\004 \001(\003\"{\n\nStatedLoad\022\016\n\006target\030" +
       "\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022" +
       "\r\n\005slots\030\004 \001(\r\022\030\n\020slowness_percent\030\005 \001(\r" +
-      "\022\022\n\nage_millis\030\006 \001(\r2Z\n\020KnowledgeService" +
-      "\022F\n\010Exchange\022\034.mustardlane.KnowledgeDige" +
-      "st\032\034.mustardlane.KnowledgeDigestB\034\n\030org." +
-      "mustardlane.protocolP\001b\006proto3"
+      "\022\022\n\nage_millis\030\006 \001(\r\"E\n\023StreamOriginsRec" +
+      "ord\022.\n\006groups\030\001 \003(\0132\036.mustardlane.Stream" +
+      "OriginGroup\"P\n\021StreamOriginGroup\022\014\n\004pool" +
+      "\030\001 \001(\t\022\030\n\020software_version\030\002 \001(\t\022\023\n\013requ" +
+      "est_ids\030\003 \003(\t\";\n\021PoolVersionRecord\022\014\n\004po" +
+      "ol\030\001 \001(\t\022\030\n\020software_version\030\002 \001(\t2Z\n\020Kn" +
+      "owledgeService\022F\n\010Exchange\022\034.mustardlane" +
+      ".KnowledgeDigest\032\034.mustardlane.Knowledge" +
+      "DigestB\034\n\030org.mustardlane.protocolP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -161,6 +182,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_StatedLoad_descriptor,
         new java.lang.String[] { "Target", "Running", "Waiting", "Slots", "SlownessPercent", "AgeMillis", });
+    internal_static_mustardlane_StreamOriginsRecord_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_mustardlane_StreamOriginsRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mustardlane_StreamOriginsRecord_descriptor,
+        new java.lang.String[] { "Groups", });
+    internal_static_mustardlane_StreamOriginGroup_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_mustardlane_StreamOriginGroup_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mustardlane_StreamOriginGroup_descriptor,
+        new java.lang.String[] { "Pool", "SoftwareVersion", "RequestIds", });
+    internal_static_mustardlane_PoolVersionRecord_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_mustardlane_PoolVersionRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mustardlane_PoolVersionRecord_descriptor,
+        new java.lang.String[] { "Pool", "SoftwareVersion", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
