A further attempt of a stream waits for its caller to read (bytes without end)

Report of other operators: bytes of a faulty target without end, all kept. Heads, chunk extensions, trailers and single events have bounds (ConnectionReuseTests), and a body stops being read while its caller does not read; three cases of EndlessBodyTests show it on the old code. The fourth failed: where a stream breaks off while its caller does not read, the next target's body was read without a bound (64 MB and on), as reading is suspended only when the caller's state changes. Now an attempt that starts in that state is suspended at once.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -100,6 +100,9 @@
 		if (this.ended) {
 			return;
 		}
+		if (!this.exchange.isCallerWritable()) {
+			setAutoRead(false);
+		}
 		scheduleSilenceCheck(silenceLimitMillis());
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -194,6 +194,14 @@
 		return this.routedCall.route();
 	}
 
+	/**
+	 * Returns whether more of the response can be written to the caller.
+	 * @return false while the caller has to read what was written before
+	 */
+	boolean isCallerWritable() {
+		return this.caller.isWritable();
+	}
+
 	/**
 	 * Returns the time since the head of the call was read.
 	 * @return the time in milliseconds
