--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -153,7 +153,7 @@
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
 				this::announceNews, this.loopLag, this.quarantine, this.streamVersions, settings.domain(),
 				() -> ThreadLocalRandom.current().nextDouble());
-		this.callRouter = new CallRouter(this.context, this.shutdown::deadlineMillis);
+		this.callRouter = new CallRouter(this.context, this.shutdown::window);
 		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GracefulShutdown.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GracefulShutdown.java
@@ -1,5 +1,6 @@
 package org.mustardlane.gateway;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -7,6 +8,7 @@
 
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.route.ShutdownWindow;
 import org.mustardlane.gateway.exchange.CallRouter;
 import org.mustardlane.gateway.front.FrontServer;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
@@ -97,12 +99,15 @@
 	}
 
 	/**
-	 * Returns the time at which the shutdown ends at the latest.
-	 * @return the time of the monotonic clock, empty before the start
+	 * Returns the time of the shutdown.
+	 * @return the time on the monotonic clock, empty before the start
 	 */
-	OptionalLong deadlineMillis() {
+	Optional<ShutdownWindow> window() {
 		OptionalLong started = this.startedAtMillis;
-		return started.isPresent() ? OptionalLong.of(started.getAsLong() + this.drainMillis.getAsLong()) : started;
+		return started.isPresent()
+				? Optional
+					.of(new ShutdownWindow(started.getAsLong(), started.getAsLong() + this.drainMillis.getAsLong()))
+				: Optional.empty();
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -19,6 +18,7 @@
 import org.mustardlane.core.route.Route;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.core.route.ShutdownRules;
+import org.mustardlane.core.route.ShutdownWindow;
 import org.mustardlane.core.route.StartupRules;
 import org.mustardlane.core.route.WeightedPool;
 import org.mustardlane.core.stream.PoolVersion;
@@ -52,7 +52,7 @@
 
 	private final ExchangeContext context;
 
-	private final Supplier<OptionalLong> shutdownDeadlineMillis;
+	private final Supplier<Optional<ShutdownWindow>> shutdown;
 
 	private final long startedAtMillis;
 
@@ -61,12 +61,12 @@
 	/**
 	 * Creates a call router.
 	 * @param context state shared by all calls
-	 * @param shutdownDeadlineMillis supplies the time at which a graceful shutdown ends,
-	 * empty while no shutdown is in progress
+	 * @param shutdown supplies the time of a graceful shutdown, empty while none is in
+	 * progress
 	 */
-	public CallRouter(ExchangeContext context, Supplier<OptionalLong> shutdownDeadlineMillis) {
+	public CallRouter(ExchangeContext context, Supplier<Optional<ShutdownWindow>> shutdown) {
 		this.context = context;
-		this.shutdownDeadlineMillis = shutdownDeadlineMillis;
+		this.shutdown = shutdown;
 		this.startedAtMillis = context.nowMillis();
 	}
 
@@ -101,7 +101,7 @@
 			return Optional.of(Rejection.permanent(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
 		}
 		List<CallFeature> promptParts = head.sharedParts().stream().map(CallFeature::ofPromptPart).toList();
-		return findQuarantineRejection(promptParts).or(() -> findShutdownRejection(route.get()));
+		return findQuarantineRejection(promptParts).or(() -> findShutdownRejection(route.get(), head));
 	}
 
 	private Optional<Rejection> findQuarantineRejection(List<CallFeature> features) {
@@ -121,14 +121,11 @@
 		return quarantine.byContent() ? CONTENT_QUARANTINE_REASON : PART_QUARANTINE_REASON;
 	}
 
-	private Optional<Rejection> findShutdownRejection(Route route) {
-		OptionalLong shutdownMillis = this.shutdownDeadlineMillis.get();
-		if (shutdownMillis.isEmpty()
-				|| ShutdownRules.accepts(route, shutdownMillis.getAsLong() - this.context.nowMillis())) {
-			return Optional.empty();
-		}
-		return Optional.of(Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
-				SHUTDOWN_RETRY_AFTER_MILLIS));
+	private Optional<Rejection> findShutdownRejection(Route route, CallHead head) {
+		return this.shutdown.get()
+			.filter((window) -> !ShutdownRules.accepts(route, head.timeoutMillis(), window, this.context.nowMillis()))
+			.map((window) -> Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
+					SHUTDOWN_RETRY_AFTER_MILLIS));
 	}
 
 	private static Optional<Organisation> findOrganisation(RouteTable table, CallHead head) {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -76,7 +76,7 @@
 				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
 				new StreamVersions(this.routingState.targets(), null, this.loop, this.nowMillis::get, log, () -> 1),
 				new DomainId("north"), () -> 0.5);
-		this.router = new CallRouter(context, OptionalLong::empty);
+		this.router = new CallRouter(context, Optional::empty);
 	}
 
 	@AfterMethod
