--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -89,15 +89,20 @@
 		this.lastReceivedMillis = this.sentAtMillis;
 		this.load.requestStarted(this.lastReceivedMillis);
 		this.context.log()
-			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "estimate",
+			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "version",
+					this.target.softwareVersion(), "resumes", this.exchange.resumedRequestId(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
-					this.load.limit().toLogText());
+					this.load.limit().toLogText(), "elapsedMillis", this.exchange.elapsedMillis(), "loopLagging",
+					this.context.isLoopLagging());
 		TargetCall targetCall = this.context.client()
 			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
 		if (this.ended) {
 			return;
 		}
+		if (!this.exchange.isCallerWritable()) {
+			setAutoRead(false);
+		}
 		scheduleSilenceCheck(silenceLimitMillis());
 	}
 
@@ -234,6 +239,9 @@
 			failAttempt(AttemptFailure.BROKEN, "the bytes are no events with increasing ids");
 			return;
 		}
+		if (previousEventId.isEmpty() && sink.lastEventId().isPresent()) {
+			this.exchange.recordFirstEvent(this.target);
+		}
 		// Comments and parts of an event are no progress of a stream.
 		if (!sink.isEventStream() || !sink.lastEventId().equals(previousEventId)) {
 			this.lastReceivedMillis = this.context.nowMillis();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -15,10 +14,14 @@
 import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.PoolSpec;
+import org.mustardlane.core.route.RequestSemantics;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.core.route.RouteTable;
 import org.mustardlane.core.route.ShutdownRules;
+import org.mustardlane.core.route.ShutdownWindow;
 import org.mustardlane.core.route.StartupRules;
+import org.mustardlane.core.route.WeightedPool;
+import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
@@ -28,6 +31,7 @@
 import org.mustardlane.gateway.quarantine.QuarantineMatch;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
+import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * Finds the route of each call and starts its exchange.
@@ -48,7 +52,7 @@
 
 	private final ExchangeContext context;
 
-	private final Supplier<OptionalLong> shutdownDeadlineMillis;
+	private final Supplier<Optional<ShutdownWindow>> shutdown;
 
 	private final long startedAtMillis;
 
@@ -57,12 +61,12 @@
 	/**
 	 * Creates a call router.
 	 * @param context state shared by all calls
-	 * @param shutdownDeadlineMillis supplies the time at which a graceful shutdown ends,
-	 * empty while no shutdown is in progress
+	 * @param shutdown supplies the time of a graceful shutdown, empty while none is in
+	 * progress
 	 */
-	public CallRouter(ExchangeContext context, Supplier<OptionalLong> shutdownDeadlineMillis) {
+	public CallRouter(ExchangeContext context, Supplier<Optional<ShutdownWindow>> shutdown) {
 		this.context = context;
-		this.shutdownDeadlineMillis = shutdownDeadlineMillis;
+		this.shutdown = shutdown;
 		this.startedAtMillis = context.nowMillis();
 	}
 
@@ -97,7 +101,7 @@
 			return Optional.of(Rejection.permanent(HttpResponseStatus.UNAUTHORIZED.code(), "The key is not known"));
 		}
 		List<CallFeature> promptParts = head.sharedParts().stream().map(CallFeature::ofPromptPart).toList();
-		return findQuarantineRejection(promptParts).or(() -> findShutdownRejection(route.get()));
+		return findQuarantineRejection(promptParts).or(() -> findShutdownRejection(route.get(), head));
 	}
 
 	private Optional<Rejection> findQuarantineRejection(List<CallFeature> features) {
@@ -117,14 +121,11 @@
 		return quarantine.byContent() ? CONTENT_QUARANTINE_REASON : PART_QUARANTINE_REASON;
 	}
 
-	private Optional<Rejection> findShutdownRejection(Route route) {
-		OptionalLong shutdownMillis = this.shutdownDeadlineMillis.get();
-		if (shutdownMillis.isEmpty()
-				|| ShutdownRules.accepts(route, shutdownMillis.getAsLong() - this.context.nowMillis())) {
-			return Optional.empty();
-		}
-		return Optional.of(Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
-				SHUTDOWN_RETRY_AFTER_MILLIS));
+	private Optional<Rejection> findShutdownRejection(Route route, CallHead head) {
+		return this.shutdown.get()
+			.filter((window) -> !ShutdownRules.accepts(route, head.timeoutMillis(), window, this.context.nowMillis()))
+			.map((window) -> Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
+					SHUTDOWN_RETRY_AFTER_MILLIS));
 	}
 
 	private static Optional<Organisation> findOrganisation(RouteTable table, CallHead head) {
@@ -138,11 +139,7 @@
 		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis())
 			.or(() -> findQuarantineRejection(features.all()));
 		if (rejection.isPresent()) {
-			this.context.log()
-				.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status",
-						rejection.get().status(), "reason", rejection.get().reason());
-			caller.reject(rejection.get());
-			return EndedCall.INSTANCE;
+			return reject(call, caller, rejection.get());
 		}
 		return this.context.routingState().isComplete() ? startExchange(call, features, caller) : defer(call, caller);
 	}
@@ -160,10 +157,55 @@
 	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller) {
 		RouteTable table = this.context.routingState().routes().orElseThrow();
 		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
-		PoolId pool = route.pickPool(this.context.nextRandom());
+		Optional<Resumption> resumption = call.head().resumption();
+		if (resumption.isPresent() && route.semantics() == RequestSemantics.RESUMABLE_STREAM) {
+			return resume(call, features, caller, resumption.get(), route);
+		}
+		return startExchange(call, features, caller, table, route, Optional.empty());
+	}
+
+	private OpenCall resume(Call call, CallFeatures features, CallerChannel caller, Resumption resumption,
+			Route route) {
+		List<PoolId> pools = route.pools().stream().map(WeightedPool::pool).toList();
+		ResumedCall resumedCall = new ResumedCall((origin) -> openAt(call, features, caller, origin));
+		this.context.streamVersions().find(resumption, pools, resumedCall::open);
+		return resumedCall;
+	}
+
+	// The routes may have changed since the call arrived.
+	private OpenCall openAt(Call call, CallFeatures features, CallerChannel caller, Optional<PoolVersion> origin) {
+		Optional<RouteTable> table = this.context.routingState().routes();
+		Optional<Route> route = table.flatMap((routes) -> routes.find(call.head().host(), call.head().path()));
+		Optional<Rejection> rejection = findRejection(call.head(), call.arrivedAtMillis())
+			.or(() -> checkOrigin(origin, route.orElseThrow()));
+		if (rejection.isPresent()) {
+			return reject(call, caller, rejection.get());
+		}
+		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin);
+	}
+
+	private static Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
+		boolean isKnown = origin
+			.filter((version) -> route.pools().stream().anyMatch((pool) -> pool.pool().equals(version.pool())))
+			.isPresent();
+		return isKnown ? Optional.empty() : Optional.of(Rejection
+			.permanent(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "It is not known where the stream began"));
+	}
+
+	private OpenCall reject(Call call, CallerChannel caller, Rejection rejection) {
+		this.context.log()
+			.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status", rejection.status(),
+					"reason", rejection.reason());
+		caller.reject(rejection);
+		return EndedCall.INSTANCE;
+	}
+
+	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller, RouteTable table,
+			Route route, Optional<PoolVersion> origin) {
+		PoolId pool = origin.map(PoolVersion::pool).orElseGet(() -> route.pickPool(this.context.nextRandom()));
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
-				features, table.version());
+				origin.map(PoolVersion::softwareVersion), features, table.version());
 		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
 		exchange.start();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -17,7 +17,9 @@
 import org.mustardlane.core.retry.NextStep;
 import org.mustardlane.core.retry.RetryRules;
 import org.mustardlane.core.route.Organisation;
+import org.mustardlane.core.route.RequestSemantics;
 import org.mustardlane.core.route.Route;
+import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
@@ -27,6 +29,7 @@
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.Dispatch;
 import org.mustardlane.gateway.wire.ResponseHead;
+import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * One call from its arrival to its outcome.
@@ -38,8 +41,6 @@
  */
 final class Exchange implements OpenCall {
 
-	private static final int LAG_DELAY_MILLIS = 2;
-
 	private final ExchangeContext context;
 
 	private final RoutedCall routedCall;
@@ -48,6 +49,8 @@
 
 	private final Consumer<Exchange> onEnd;
 
+	private final CallerPresence callerPresence;
+
 	private final ResponseSink responseSink;
 
 	private final CallTargets callTargets;
@@ -71,25 +74,35 @@
 		this.routedCall = routedCall;
 		this.caller = caller;
 		this.onEnd = onEnd;
+		this.callerPresence = new CallerPresence(caller, context.clock());
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
 		this.evidence = new CallEvidence(context, routedCall.call().head().requestId(), routedCall.features());
 	}
 
 	/**
-	 * Sends the call to the first target. If the event loop lags, it first reads from its
-	 * sockets once more: the caller may have disconnected long ago.
+	 * Sends the call to the first target, once the read that has completed the call has
+	 * ended.
 	 */
 	void start() {
-		if (this.context.isLoopLagging()) {
-			this.context.loop().schedule(this::startNow, LAG_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-			return;
+		this.context.loop().execute(this::startSafely);
+	}
+
+	// An exception outside the pipeline would leave the caller without a response.
+	private void startSafely() {
+		try {
+			startNow();
+		}
+		catch (RuntimeException ex) {
+			this.context.log().warn(LogEvent.UNEXPECTED_ERROR, "task", "call", "reason", ex);
+			if (!this.ended) {
+				failCall(HttpResponseStatus.BAD_GATEWAY, "Unexpected error");
+			}
 		}
-		startNow();
 	}
 
 	private void startNow() {
-		if (this.ended) {
+		if (this.ended || !this.callerPresence.isConnected()) {
 			return;
 		}
 		long remainingMillis = remainingMillis();
@@ -108,7 +121,7 @@
 	}
 
 	private void dispatch() {
-		if (this.ended) {
+		if (this.ended || !this.callerPresence.isConnected()) {
 			return;
 		}
 		Optional<QuarantineMatch> quarantine = this.evidence.findQuarantine();
@@ -156,7 +169,7 @@
 
 	private Optional<HttpRequest> createRequest(TargetEntry target, Optional<TargetEntry> copySource) {
 		long remainingMillis = remainingMillis();
-		if (remainingMillis <= 0) {
+		if (remainingMillis <= 0 || !this.callerPresence.isConnected()) {
 			return Optional.empty();
 		}
 		Dispatch dispatch = new Dispatch(target.id(), remainingMillis,
@@ -169,10 +182,34 @@
 		return this.routedCall.call().head().requestId();
 	}
 
+	/**
+	 * Returns which request of its caller the call continues.
+	 * @return the id of that request, empty if the call starts anew or names none
+	 */
+	String resumedRequestId() {
+		return this.routedCall.call().head().resumption().flatMap(Resumption::requestId).orElse("");
+	}
+
 	Route route() {
 		return this.routedCall.route();
 	}
 
+	/**
+	 * Returns whether more of the response can be written to the caller.
+	 * @return false while the caller has to read what was written before
+	 */
+	boolean isCallerWritable() {
+		return this.caller.isWritable();
+	}
+
+	/**
+	 * Returns the time since the head of the call was read.
+	 * @return the time in milliseconds
+	 */
+	long elapsedMillis() {
+		return this.context.nowMillis() - this.routedCall.call().arrivedAtMillis();
+	}
+
 	/**
 	 * Starts to forward a response.
 	 * @param head head of the response
@@ -180,9 +217,7 @@
 	 */
 	void startResponse(ResponseHead head, TargetEntry target) {
 		this.possibleExecutions++;
-		this.context.metrics()
-			.recordResponseStart(this.routedCall.pool(),
-					this.context.nowMillis() - this.routedCall.call().arrivedAtMillis());
+		this.context.metrics().recordResponseStart(this.routedCall.pool(), elapsedMillis());
 		if (head.isSuccess()) {
 			this.routedCall.prefix()
 				.ifPresent((prefix) -> this.context.prefixHolders()
@@ -191,6 +226,19 @@
 		this.responseSink.startResponse(head);
 	}
 
+	/**
+	 * Records that the first event of a stream was forwarded.
+	 * @param target target that sent the event
+	 */
+	void recordFirstEvent(TargetEntry target) {
+		this.callTargets.requireVersion(target.softwareVersion());
+		boolean isBeginning = this.routedCall.call().head().resumption().isEmpty();
+		if (isBeginning && route().semantics() == RequestSemantics.RESUMABLE_STREAM) {
+			this.context.streamVersions()
+				.recordFirstEvent(requestId(), new PoolVersion(target.pool(), target.softwareVersion()));
+		}
+	}
+
 	ResponseSink responseSink() {
 		return this.responseSink;
 	}
@@ -384,7 +432,7 @@
 	private void endCall(CallOutcome outcome, int status, String detail) {
 		this.ended = true;
 		this.deadlineTimer.ifPresent((timer) -> timer.cancel(false));
-		long elapsedMillis = this.context.nowMillis() - this.routedCall.call().arrivedAtMillis();
+		long elapsedMillis = elapsedMillis();
 		this.context.metrics().recordCall(outcome, this.routedCall.pool(), elapsedMillis);
 		this.context.log()
 			.write(LogEvent.CALL_ENDED, "requestId", requestId(), "route", route().name(), "pool",
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -59,6 +59,12 @@
 	 */
 	private static final int PUSH_DELAY_MILLIS = 50;
 
+	/**
+	 * News may come without a pause while many calls are lost. Each router also receives
+	 * what others send, and forwards it.
+	 */
+	private static final int MIN_PUSH_INTERVAL_MILLIS = 400;
+
 	/**
 	 * Evidence that regular digests hold, in addition to what is pushed once.
 	 */
@@ -106,6 +112,8 @@
 
 	private final DecisionLog log;
 
+	private final GossipTraffic traffic;
+
 	private boolean pushScheduled;
 
 	private long lastPushMillis;
@@ -135,6 +143,7 @@
 		this.loop = loop;
 		this.clock = clock;
 		this.log = log;
+		this.traffic = new GossipTraffic(log, clock.nowMillis());
 	}
 
 	/**
@@ -157,8 +166,9 @@
 			return;
 		}
 		this.pushScheduled = true;
-		this.loop.schedule(new GuardedTask(TASK_NAME, this::pushDigest, this.log), PUSH_DELAY_MILLIS,
-				TimeUnit.MILLISECONDS);
+		long waitMillis = this.lastPushMillis + MIN_PUSH_INTERVAL_MILLIS - this.clock.nowMillis();
+		this.loop.schedule(new GuardedTask(TASK_NAME, this::pushDigest, this.log),
+				Math.max(PUSH_DELAY_MILLIS, waitMillis), TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -179,6 +189,7 @@
 	}
 
 	private void runRound() {
+		this.traffic.reportIfDue(this.clock.nowMillis());
 		boolean isUrgent = this.routingState.needsPeerRecords();
 		new GuardedTask(TASK_NAME, () -> contactPeer(isUrgent), this.log).run();
 		int intervalMillis = isUrgent ? URGENT_INTERVAL_MILLIS : INTERVAL_MILLIS;
@@ -194,6 +205,7 @@
 	}
 
 	private void sendDigest(PeerAddress peer, KnowledgeDigest digest) {
+		this.traffic.recordSent(digest.getNewsOnly());
 		KnowledgeServiceGrpc.newStub(channelTo(peer))
 			.withDeadlineAfter(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.exchange(digest, new StreamObserver<>() {
@@ -262,6 +274,7 @@
 
 	@Override
 	public void exchange(KnowledgeDigest request, StreamObserver<KnowledgeDigest> responseObserver) {
+		this.traffic.recordReceived();
 		applyDigest(request);
 		KnowledgeDigest.Builder reply = request.getNewsOnly() ? createHeader() : createDigest().toBuilder();
 		if (request.getRoutesVersion() < this.routingState.routesVersion()) {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -36,6 +36,7 @@
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.LogRateLimiter;
+import org.mustardlane.gateway.resumption.StreamVersions;
 import org.mustardlane.gateway.standin.FakeCaller;
 import org.mustardlane.gateway.wire.CallHead;
 import org.mustardlane.gateway.wire.MalformedRecordException;
@@ -73,8 +74,9 @@
 				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> new FleetPosition(0, 1),
 				() -> {
 				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
+				new StreamVersions(this.routingState.targets(), null, this.loop, this.nowMillis::get, log, () -> 1),
 				new DomainId("north"), () -> 0.5);
-		this.router = new CallRouter(context, OptionalLong::empty);
+		this.router = new CallRouter(context, Optional::empty);
 	}
 
 	@AfterMethod
@@ -88,7 +90,7 @@
 
 	private OpenCall openCall() throws InterruptedException, ExecutionException {
 		CallHead head = new CallHead("r-1", "h.example", "/x/1", Optional.empty(), OptionalLong.of(900),
-				Optional.empty());
+				Optional.empty(), Optional.empty());
 		Call call = new Call(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x/1"), head, new byte[0],
 				this.nowMillis.get());
 		return onLoop(() -> this.router.open(call, this.caller));
