A target that is not read because its caller does not read is not silent

While the caller does not read, the check waits, and the time of silence starts anew when reading goes on.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -132,6 +132,10 @@
 		if (remainingMillis > 0) {
 			scheduleSilenceCheck(remainingMillis);
 		}
+		else if (!this.exchange.isCallerWritable()) {
+			// The target is not being read, so its silence means nothing.
+			scheduleSilenceCheck(silenceLimitMillis());
+		}
 		else if (this.exchange.tryReserveRetry(this.responseStarted)) {
 			this.load.recordFailure(this.context.nowMillis());
 			if (this.call.filter(TargetCall::isUnansweredOnReusedConnection).isPresent()) {
@@ -319,6 +323,7 @@
 	 * @param autoRead true to read, false to suspend reading
 	 */
 	void setAutoRead(boolean autoRead) {
+		this.lastReceivedMillis = this.context.nowMillis();
 		this.call.ifPresent((targetCall) -> targetCall.setAutoRead(autoRead));
 	}
 
