--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -92,8 +92,8 @@
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "version",
 					this.target.softwareVersion(), "resumes", this.exchange.resumedRequestId(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
-					this.load.limit().toLogText(), "elapsedMillis", this.exchange.elapsedMillis(), "loopLagging",
-					this.context.isLoopLagging());
+					this.load.limit().toLogText(), "elapsedMillis", this.exchange.report().elapsedMillis(),
+					"loopLagging", this.context.isLoopLagging());
 		TargetCall targetCall = this.context.client()
 			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -1,17 +1,14 @@
 package org.mustardlane.gateway.exchange;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.directory.TargetEntry;
-import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.retry.AttemptFailure;
 import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
@@ -57,9 +54,9 @@
 
 	private final CallEvidence evidence;
 
-	private Optional<Attempt> currentAttempt = Optional.empty();
+	private final CallReport report;
 
-	private String lastTargetId = "";
+	private Optional<Attempt> currentAttempt = Optional.empty();
 
 	private Optional<Future<?>> deadlineTimer = Optional.empty();
 
@@ -77,6 +74,7 @@
 		this.callerPresence = new CallerPresence(caller, context.clock());
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
+		this.report = new CallReport(context, routedCall);
 		this.evidence = new CallEvidence(context, routedCall.call().head().requestId(), routedCall.features());
 	}
 
@@ -159,7 +157,7 @@
 	private void sendTo(TargetEntry target) {
 		this.sendCount++;
 		this.callTargets.markTried(target.id());
-		this.lastTargetId = target.id().value();
+		this.report.recordTarget(target.id().value());
 		Optional<TargetEntry> copySource = this.callTargets.findCopySource(target);
 		Attempt attempt = new Attempt(this.context, this, target);
 		this.currentAttempt = Optional.of(attempt);
@@ -202,14 +200,6 @@
 		return this.caller.isWritable();
 	}
 
-	/**
-	 * Returns the time since the head of the call was read.
-	 * @return the time in milliseconds
-	 */
-	long elapsedMillis() {
-		return this.context.nowMillis() - this.routedCall.call().arrivedAtMillis();
-	}
-
 	/**
 	 * Starts to forward a response.
 	 * @param head head of the response
@@ -217,7 +207,7 @@
 	 */
 	void startResponse(ResponseHead head, TargetEntry target) {
 		this.possibleExecutions++;
-		this.context.metrics().recordResponseStart(this.routedCall.pool(), elapsedMillis());
+		this.report.recordResponseStart();
 		if (head.isSuccess()) {
 			this.routedCall.prefix()
 				.ifPresent((prefix) -> this.context.prefixHolders()
@@ -265,8 +255,7 @@
 			this.possibleExecutions++;
 		}
 		NextStep step = nextStep(failure);
-		logAttempt(failure, step, detail);
-		this.context.metrics().recordFailedAttempt(failure, step);
+		this.report.recordFailedAttempt(failure, step, detail, counts());
 		if (step == NextStep.RELAY) {
 			return true;
 		}
@@ -300,23 +289,18 @@
 		dispatch();
 	}
 
-	private void logAttempt(AttemptFailure failure, NextStep step, String detail) {
-		this.context.log()
-			.write(LogEvent.ATTEMPT_FAILED, "requestId", requestId(), "pool", this.routedCall.pool(), "target",
-					this.lastTargetId, "result", failure, "next", step, "runs", this.possibleExecutions, "sends",
-					this.sendCount, "events", this.responseSink.eventCount(), "parts",
-					join(this.evidence.features().promptParts()), "contents", join(this.evidence.features().contents()),
-					"detail", detail);
-	}
-
-	private static String join(List<CallFeature> features) {
-		return features.stream().map(CallFeature::value).collect(Collectors.joining(" "));
+	private CallReport.Counts counts() {
+		return new CallReport.Counts(this.possibleExecutions, this.sendCount, this.responseSink.eventCount());
 	}
 
 	CallEvidence evidence() {
 		return this.evidence;
 	}
 
+	CallReport report() {
+		return this.report;
+	}
+
 	/**
 	 * Reserves a retry at another target to replace the current attempt, which has not
 	 * ended.
@@ -344,8 +328,7 @@
 		if (!executionCounted) {
 			this.possibleExecutions++;
 		}
-		logAttempt(AttemptFailure.BROKEN, NextStep.RETRY_WITHIN_BUDGET, detail);
-		this.context.metrics().recordFailedAttempt(AttemptFailure.BROKEN, NextStep.RETRY_WITHIN_BUDGET);
+		this.report.recordFailedAttempt(AttemptFailure.BROKEN, NextStep.RETRY_WITHIN_BUDGET, detail, counts());
 		this.currentAttempt = Optional.empty();
 		retryDispatch();
 	}
@@ -432,13 +415,7 @@
 	private void endCall(CallOutcome outcome, int status, String detail) {
 		this.ended = true;
 		this.deadlineTimer.ifPresent((timer) -> timer.cancel(false));
-		long elapsedMillis = elapsedMillis();
-		this.context.metrics().recordCall(outcome, this.routedCall.pool(), elapsedMillis);
-		this.context.log()
-			.write(LogEvent.CALL_ENDED, "requestId", requestId(), "route", route().name(), "pool",
-					this.routedCall.pool(), "target", this.lastTargetId, "outcome", outcome, "status", status, "runs",
-					this.possibleExecutions, "sends", this.sendCount, "elapsedMillis", elapsedMillis, "routesVersion",
-					this.routedCall.routesVersion(), "detail", detail);
+		this.report.recordEnd(outcome, status, detail, counts());
 		this.onEnd.accept(this);
 	}
 
