--- a/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/directory/TargetDirectory.java
@@ -358,6 +358,15 @@
 		return this.readyByPool.getOrDefault(pool, List.of());
 	}
 
+	/**
+	 * Finds a target that has not been removed.
+	 * @param target id of the target
+	 * @return its entry, or empty if it is not known or was removed
+	 */
+	public Optional<TargetEntry> find(TargetId target) {
+		return Optional.ofNullable(this.records.get(target)).flatMap(DirectoryRecord::entry);
+	}
+
 	/**
 	 * Returns whether a target still accepts new requests at the same port.
 	 * @param target the entry of the target at the time it was chosen
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -38,8 +40,11 @@
 import org.mustardlane.gateway.knowledge.Topic;
 import org.mustardlane.gateway.knowledge.TopicFollower;
 import org.mustardlane.gateway.peer.PeerGossip;
+import org.mustardlane.gateway.peer.RouterEndpoint;
 import org.mustardlane.gateway.quarantine.CallQuarantine;
 import org.mustardlane.gateway.quarantine.QuarantineRecords;
+import org.mustardlane.gateway.relay.RelayDialect;
+import org.mustardlane.gateway.relay.RelayHandler;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.GuardedTask;
@@ -71,6 +76,11 @@
 	 */
 	private static final int BODY_MEMORY_DIVISOR = 5;
 
+	/**
+	 * What routers add to the headers of a call that they pass on.
+	 */
+	private static final int RELAY_HEADER_BYTES = 2048;
+
 	private static final int MAINTENANCE_INTERVAL_MILLIS = 250;
 
 	/**
@@ -105,6 +115,10 @@
 
 	private final TargetClient targetClient;
 
+	private final TargetClient relayClient;
+
+	private final FrontServer relayServer;
+
 	private final StreamVersions streamVersions;
 
 	private final ExchangeContext context;
@@ -146,18 +160,24 @@
 		this.routingState = new RoutingState(adapter.decoder(), this.log, this.clock, this.routingReady::countDown);
 		this.quarantine = new CallQuarantine(this.clock, System::currentTimeMillis, this.log);
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
+		this.relayClient = new TargetClient(this.loop, new RelayDialect(adapter.dialect()), this.clock);
 		this.recordLog = adapter.openLog(this.eventLoops);
 		this.streamVersions = new StreamVersions(this.routingState.targets(), this.recordLog, this.loop, this.clock,
 				this.log, () -> fleetPosition().routers());
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
-				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this::fleetPosition,
-				this::announceNews, this.loopLag, this.quarantine, this.streamVersions, settings.domain(),
-				() -> ThreadLocalRandom.current().nextDouble());
+				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this.relayClient,
+				this::otherRouters, this::fleetPosition, this::announceNews, this.loopLag, this.quarantine,
+				this.streamVersions, settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this.shutdown::window);
 		this.quarantine.addListener(this.callRouter);
 		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
 				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
 				this.shutdown::isStarted, this.clock, this.log);
+		this.relayServer = new FrontServer(this.loop, adapter.dialect(), new RelayHandler(this.callRouter::openRelayed),
+				this::requestLimits,
+				new FrontSettings(DEFAULT_LIMITS.headerBytes() + RELAY_HEADER_BYTES,
+						Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
+				this.shutdown::isStarted, this.clock, this.log);
 		LogEpoch logEpoch = new LogEpoch();
 		logEpoch.addRestorationListener(this.streamVersions::onLogRestored);
 		LogConnections connections = new LogConnections(this.log);
@@ -180,9 +200,8 @@
 
 	private void addPeer(String vm, String address) {
 		if (!vm.isEmpty()) {
-			PeerGossip.parseAddress(address)
-				.ifPresent((peerAddress) -> this.peerGossip
-					.ifPresent((gossip) -> gossip.addPeer(new VmId(vm), peerAddress)));
+			RouterEndpoint.parse(address)
+				.ifPresent((endpoint) -> this.peerGossip.ifPresent((gossip) -> gossip.addPeer(new VmId(vm), endpoint)));
 		}
 	}
 
@@ -190,6 +209,10 @@
 		return this.peerGossip.map(PeerGossip::position).orElse(PeerGossip.ASSUMED_POSITION);
 	}
 
+	private Map<VmId, PeerAddress> otherRouters() {
+		return this.peerGossip.map(PeerGossip::callAddresses).orElse(Map.of());
+	}
+
 	private void announceNews() {
 		this.peerGossip.ifPresent(PeerGossip::onNews);
 	}
@@ -273,10 +296,12 @@
 		this.peerGossip = Optional.of(gossip);
 		PeerAddress ownAddress = new PeerAddress(address.getHostString(), server.port());
 		this.peerPort = server.port();
-		this.loop.execute(() -> gossip.start(ownAddress));
+		this.relayServer.start(this.settings.relayAddress());
+		RouterEndpoint endpoint = new RouterEndpoint(ownAddress, OptionalInt.of(this.relayServer.port()));
+		this.loop.execute(() -> gossip.start(endpoint));
 		// Only now, as the addresses that are read go to the gossip.
 		this.loop.execute(this.routersFollower::start);
-		this.loop.execute(() -> this.addressPublisher.publish(ownAddress.host() + ":" + ownAddress.port()));
+		this.loop.execute(() -> this.addressPublisher.publish(endpoint.toText()));
 	}
 
 	private void startHealthServer(InetSocketAddress address) throws IOException {
@@ -290,6 +315,8 @@
 		this.quarantine.evaluate();
 		this.context.loads().retain(this.routingState.targets().targetIds());
 		this.targetClient.closeExpired();
+		this.relayClient.closeExpired();
+		this.callRouter.checkSilence();
 		this.pauseDetector.check().ifPresent((pause) -> {
 			this.log.warn(LogEvent.PAUSE_NOTICED, "steadyMillis", pause.monotonicMillis(), "wallMillis",
 					pause.wallMillis());
@@ -299,6 +326,7 @@
 			this.targetsFollower.start();
 			this.quarantinesFollower.start();
 			this.targetClient.closeIdle();
+			this.relayClient.closeIdle();
 		});
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
  * @param healthAddress listening address for readiness probes
  * @param readyPath path of the readiness probe
  * @param peerAddress listening address for other routers
+ * @param relayAddress listening address for calls that other routers pass on
  * @param seeds routers to contact while no record of the platform's log names one; may be
  * outdated
  * @param metricsAddress listening address for metrics
@@ -29,9 +30,10 @@
  * @param retryLimits limits of the retries to one pool
  */
 public record GatewaySettings(VmId vm, DomainId domain, InetSocketAddress callerAddress,
-		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress, List<PeerAddress> seeds,
-		InetSocketAddress metricsAddress, long peerStartDelayMillis, long drainMillis, int maxRoutesDelayMillis,
-		int maxLeavingDelayMillis, RetryLimits retryLimits) {
+		InetSocketAddress healthAddress, String readyPath, InetSocketAddress peerAddress,
+		InetSocketAddress relayAddress, List<PeerAddress> seeds, InetSocketAddress metricsAddress,
+		long peerStartDelayMillis, long drainMillis, int maxRoutesDelayMillis, int maxLeavingDelayMillis,
+		RetryLimits retryLimits) {
 
 	/**
 	 * Makes an unmodifiable copy of the seeds.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -1,7 +1,6 @@
 package org.mustardlane.gateway.exchange;
 
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -11,10 +10,10 @@
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.placement.LoadSample;
-import org.mustardlane.core.placement.RequestedPause;
-import org.mustardlane.core.placement.TargetLimit;
+import org.mustardlane.core.placement.PoolReachability;
 import org.mustardlane.core.placement.TargetLoad;
 import org.mustardlane.core.retry.AttemptFailure;
+import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.target.CallFailure;
 import org.mustardlane.gateway.target.CallListener;
@@ -28,14 +27,7 @@
  * <p>
  * Confined to the event loop of the daemon.
  */
-final class Attempt implements CallListener {
-
-	private static final int MISDIRECTED_REQUEST = 421;
-
-	/**
-	 * Statuses that callers take for the promise that a call has not run.
-	 */
-	private static final Set<Integer> PROMISES_OF_NO_RUN = Set.of(408, MISDIRECTED_REQUEST, 429, 503);
+final class Attempt implements CallListener, OpenAttempt {
 
 	/**
 	 * A target that has not started to respond within this multiple of the latency
@@ -43,6 +35,12 @@
 	 */
 	private static final int SILENCE_LIMIT_OBJECTIVES = 3;
 
+	/**
+	 * After this time without a byte from any target of the pool, its established
+	 * connections may have lost their path.
+	 */
+	private static final int DOUBTFUL_SILENCE_MILLIS = 500;
+
 	/**
 	 * Callers abandon a stream after two seconds without an event.
 	 */
@@ -56,6 +54,8 @@
 
 	private final TargetLoad load;
 
+	private final PoolReachability reachability;
+
 	private Optional<TargetCall> call = Optional.empty();
 
 	private Optional<Future<?>> silenceTimer = Optional.empty();
@@ -75,6 +75,7 @@
 		this.exchange = exchange;
 		this.target = target;
 		this.load = context.loads().of(target.id());
+		this.reachability = context.reachability(target.pool());
 	}
 
 	/**
@@ -90,12 +91,13 @@
 		this.load.requestStarted(this.lastReceivedMillis);
 		this.context.log()
 			.write(LogEvent.CALL_SENT, "requestId", requestId, "target", this.target.id(), "version",
-					this.target.softwareVersion(), "resumes", this.exchange.resumedRequestId(), "estimate",
+					this.target.softwareVersion(), "resumes", this.exchange.routedCall().resumedRequestId(), "estimate",
 					this.load.estimate(this.lastReceivedMillis), "sampleAgeMillis", sampleAgeText(), "limitPerSecond",
 					this.load.limit().toLogText(), "elapsedMillis", this.exchange.report().elapsedMillis(),
 					"loopLagging", this.context.isLoopLagging());
 		TargetCall targetCall = this.context.client()
-			.send(this.target, requestId, this.exchange.route().semantics(), method, requestSource, body, this);
+			.send(this.target, requestId, this.exchange.routedCall().route().semantics(),
+					this.reachability.isDoubtful(), method, requestSource, body, this);
 		this.call = Optional.of(targetCall);
 		if (this.ended) {
 			return;
@@ -114,11 +116,11 @@
 
 	private long silenceLimitMillis() {
 		return this.responseStarted ? STREAM_SILENCE_LIMIT_MILLIS
-				: SILENCE_LIMIT_OBJECTIVES * this.exchange.route().objectiveMillis();
+				: SILENCE_LIMIT_OBJECTIVES * this.exchange.routedCall().route().objectiveMillis();
 	}
 
 	private void scheduleSilenceCheck(long delayMillis) {
-		if (this.exchange.route().semantics().isRepeatable()) {
+		if (this.exchange.routedCall().route().semantics().isRepeatable()) {
 			this.silenceTimer = Optional
 				.of(this.context.loop().schedule(this::checkSilence, delayMillis, TimeUnit.MILLISECONDS));
 		}
@@ -136,7 +138,7 @@
 			// The target is not being read, so its silence means nothing.
 			scheduleSilenceCheck(silenceLimitMillis());
 		}
-		else if (this.exchange.tryReserveRetry(this.responseStarted)) {
+		else if (this.exchange.attempts().tryReserveRetry(this.responseStarted)) {
 			this.load.recordFailure(this.context.nowMillis());
 			if (this.call.filter(TargetCall::isUnansweredOnReusedConnection).isPresent()) {
 				this.context.client().recordDroppedConnection(this.target);
@@ -156,32 +158,27 @@
 		this.lastReceivedMillis = nowMillis;
 		this.status = head.status();
 		this.context.loads().domainReachability().recordReachable(this.target.domain());
-		head.load().ifPresent(this.load::updateSample);
-		updateLimit(head, nowMillis);
-		recordWishes(head, nowMillis);
-		if (head.notExecuted() || head.status() == MISDIRECTED_REQUEST) {
+		this.reachability.recordReceived(nowMillis);
+		this.context.targetReports().apply(head, this.target);
+		if (head.notExecuted() || head.status() == ResponseChecks.MISDIRECTED_REQUEST) {
 			this.call.ifPresent(TargetCall::cancel);
 			this.load.recordRejection(nowMillis);
 			failAttempt(AttemptFailure.NOT_EXECUTED, "status " + head.status());
 			return;
 		}
-		if (head.contentEncoded() || (head.isSuccess() && !head.sealed())) {
+		Optional<String> corruption = ResponseChecks.findCorruption(head);
+		if (corruption.isPresent()) {
 			this.call.ifPresent(TargetCall::cancel);
 			this.load.recordFailure(nowMillis);
-			failAttempt(AttemptFailure.BROKEN, "status " + head.status() + " without a signature or with an encoding");
+			failAttempt(AttemptFailure.BROKEN, corruption.get());
 			return;
 		}
 		this.load.recordResponse(head.isServerError());
-		if (PROMISES_OF_NO_RUN.contains(head.status()) && !this.exchange.route().semantics().isRepeatable()) {
-			// The caller would take the status for the promise that the call has not run.
+		Optional<String> mismatch = ResponseChecks.findMismatch(head, this.exchange.routedCall().route().semantics(),
+				this.exchange.responseSink());
+		if (mismatch.isPresent()) {
 			this.call.ifPresent(TargetCall::cancel);
-			failAttempt(AttemptFailure.BROKEN, "status " + head.status() + " without that promise");
-			return;
-		}
-		if (this.exchange.responseSink().isStarted() && !(head.isSuccess() && head.eventStream())) {
-			// The body of this response must not be forwarded as the rest of the stream.
-			this.call.ifPresent(TargetCall::cancel);
-			failAttempt(AttemptFailure.BROKEN, "status " + head.status() + " in place of the rest of a stream");
+			failAttempt(AttemptFailure.BROKEN, mismatch.get());
 			return;
 		}
 		if (head.isServerError()) {
@@ -191,34 +188,6 @@
 		forwardResponse(head);
 	}
 
-	// A rejection may come from another target at the same address, or lack the limit.
-	private void updateLimit(ResponseHead head, long nowMillis) {
-		boolean hasLimit = head.limitPerSecond().isPresent();
-		boolean isUnchanged = !hasLimit && !this.load.limit().isLimited();
-		if (isUnchanged || head.status() == MISDIRECTED_REQUEST || (head.notExecuted() && !hasLimit)) {
-			return;
-		}
-		if (this.load.updateLimit(new TargetLimit(head.limitPerSecond(), nowMillis), this.context.fleetPosition())) {
-			this.context.announceNews();
-			this.context.log()
-				.write(LogEvent.TARGET_LIMIT_CHANGED, "target", this.target.id(), "limitPerSecond",
-						this.load.limit().toLogText(), "source", "response");
-		}
-	}
-
-	// A misdirected request was answered by another target at the same address.
-	private void recordWishes(ResponseHead head, long nowMillis) {
-		if (head.status() == MISDIRECTED_REQUEST) {
-			return;
-		}
-		if (head.leaving()) {
-			this.context.routingState().markLeaving(this.target);
-		}
-		head.pauseMillis()
-			.ifPresent((pauseMillis) -> this.load
-				.recordRequestedPause(new RequestedPause(this.target.startedAtMillis(), nowMillis + pauseMillis)));
-	}
-
 	private void handleServerError(ResponseHead head) {
 		if (this.exchange.handleFailedAttempt(AttemptFailure.FAILURE_ANSWERED, false, "status " + head.status())) {
 			this.responseStarted = true;
@@ -236,6 +205,7 @@
 
 	@Override
 	public void onContent(ByteBuf content) {
+		this.reachability.recordReceived(this.context.nowMillis());
 		ResponseSink sink = this.exchange.responseSink();
 		Optional<String> previousEventId = sink.lastEventId();
 		if (!sink.addContent(content)) {
@@ -244,7 +214,8 @@
 			return;
 		}
 		if (previousEventId.isEmpty() && sink.lastEventId().isPresent()) {
-			this.exchange.recordFirstEvent(this.target);
+			this.exchange.records()
+				.recordFirstEvent(new PoolVersion(this.target.pool(), this.target.softwareVersion()));
 		}
 		// Comments and parts of an event are no progress of a stream.
 		if (!sink.isEventStream() || !sink.lastEventId().equals(previousEventId)) {
@@ -283,6 +254,7 @@
 			this.context.loads()
 				.domainReachability()
 				.recordConnectFailure(this.target.domain(), this.target.id(), this.context.nowMillis());
+			this.exchange.recordConnectFailure(this.target);
 		}
 		this.load.recordFailure(this.context.nowMillis());
 		failAttempt((failure == CallFailure.NOT_SENT) ? AttemptFailure.NOT_SENT : AttemptFailure.BROKEN, detail);
@@ -306,23 +278,26 @@
 		this.load.requestEnded();
 	}
 
-	/**
-	 * Cancels the attempt; the exchange is not notified of its end.
-	 */
-	void cancel() {
+	@Override
+	public void cancel() {
 		this.call.ifPresent(TargetCall::cancel);
 		finish();
 	}
 
-	boolean isSent() {
+	@Override
+	public boolean isSent() {
 		return this.call.filter(TargetCall::isSent).isPresent();
 	}
 
-	/**
-	 * Resumes or suspends reading from the target.
-	 * @param autoRead true to read, false to suspend reading
-	 */
-	void setAutoRead(boolean autoRead) {
+	@Override
+	public void reportSilence() {
+		if (isSent() && this.context.nowMillis() - this.lastReceivedMillis >= DOUBTFUL_SILENCE_MILLIS) {
+			this.reachability.recordSilence(this.lastReceivedMillis);
+		}
+	}
+
+	@Override
+	public void setAutoRead(boolean autoRead) {
 		this.lastReceivedMillis = this.context.nowMillis();
 		this.call.ifPresent((targetCall) -> targetCall.setAutoRead(autoRead));
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallReport.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallReport.java
@@ -67,6 +67,17 @@
 					"contents", join(this.routedCall.features().contents()), "detail", detail);
 	}
 
+	/**
+	 * Records that another router has not taken the call over.
+	 * @param router the router
+	 * @param detail why it has not
+	 */
+	void recordDeclined(String router, String detail) {
+		this.context.log()
+			.write(LogEvent.RELAY_DECLINED, "requestId", requestId(), "pool", this.routedCall.pool(), "router", router,
+					"elapsedMillis", elapsedMillis(), "detail", detail);
+	}
+
 	private static String join(List<CallFeature> features) {
 		return features.stream().map(CallFeature::value).collect(Collectors.joining(" "));
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.placement.PoolReachability;
 import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.core.route.EngineSpec;
@@ -25,10 +26,13 @@
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
+import org.mustardlane.gateway.front.EndedCall;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.knowledge.RoutingState;
 import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.quarantine.QuarantineMatch;
+import org.mustardlane.gateway.relay.RelayRequest;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
 import org.mustardlane.gateway.wire.Resumption;
@@ -46,6 +50,11 @@
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
 
+	/**
+	 * Calls of other routers that this one serves at the same time beside its own.
+	 */
+	private static final int MAX_RELAYED_CALLS = 256;
+
 	private static final String PART_QUARANTINE_REASON = "The prompt has a part that crashes engines";
 
 	private static final String CONTENT_QUARANTINE_REASON = "The request crashes the targets that run it";
@@ -161,7 +170,7 @@
 		if (resumption.isPresent() && route.semantics() == RequestSemantics.RESUMABLE_STREAM) {
 			return resume(call, features, caller, resumption.get(), route);
 		}
-		return startExchange(call, features, caller, table, route, Optional.empty());
+		return startExchange(call, features, caller, table, route, Optional.empty(), false);
 	}
 
 	private OpenCall resume(Call call, CallFeatures features, CallerChannel caller, Resumption resumption,
@@ -181,7 +190,7 @@
 		if (rejection.isPresent()) {
 			return reject(call, caller, rejection.get());
 		}
-		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin);
+		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin, false);
 	}
 
 	private static Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
@@ -192,6 +201,67 @@
 			.permanent(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "It is not known where the stream began"));
 	}
 
+	/**
+	 * Opens a call that another router has passed on.
+	 * @param call the call
+	 * @param request what the other router says about it
+	 * @param router channel for the response
+	 * @return the call in progress
+	 */
+	public OpenCall openRelayed(Call call, RelayRequest request, CallerChannel router) {
+		Optional<Rejection> rejection = findRelayRejection(call, request);
+		if (rejection.isPresent()) {
+			return reject(call, router, rejection.get());
+		}
+		RouteTable table = this.context.routingState().routes().orElseThrow();
+		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
+		return startExchange(call, CallFeatures.of(call), router, table, route, request.origin(), true);
+	}
+
+	private Optional<Rejection> findRelayRejection(Call call, RelayRequest request) {
+		RoutingState state = this.context.routingState();
+		boolean isBusy = this.context.isLoopLagging() || openRelayedCalls() >= MAX_RELAYED_CALLS;
+		if (!state.isComplete() || state.routesVersion() < request.routesVersion() || this.shutdown.get().isPresent()
+				|| isBusy) {
+			return Optional.of(declined("The router takes no calls over"));
+		}
+		return findRouteRejection(state.routes().orElseThrow(), call.head())
+			.or(() -> findQuarantineRejection(CallFeatures.of(call).all()))
+			.or(() -> findReachRejection(call.head(), request));
+	}
+
+	private Optional<Rejection> findReachRejection(CallHead head, RelayRequest request) {
+		Route route = this.context.routingState()
+			.routes()
+			.flatMap((table) -> table.find(head.host(), head.path()))
+			.orElseThrow();
+		List<PoolId> pools = request.origin()
+			.map((origin) -> List.of(origin.pool()))
+			.orElseGet(() -> route.pools().stream().map(WeightedPool::pool).toList());
+		boolean isReached = pools.stream().map(this.context::reachability).anyMatch(this::mayReach);
+		return isReached ? Optional.empty() : Optional.of(declined("The router does not reach the targets"));
+	}
+
+	private boolean mayReach(PoolReachability reachability) {
+		return !reachability.isUnreachable() || reachability.tryStartTrial(this.context.nowMillis());
+	}
+
+	private Rejection declined(String reason) {
+		return Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), reason,
+				RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+	}
+
+	private long openRelayedCalls() {
+		return this.openExchanges.stream().filter((exchange) -> exchange.routedCall().relayed()).count();
+	}
+
+	/**
+	 * Looks for calls whose targets have been silent for long.
+	 */
+	public void checkSilence() {
+		this.openExchanges.forEach(Exchange::reportSilence);
+	}
+
 	private OpenCall reject(Call call, CallerChannel caller, Rejection rejection) {
 		this.context.log()
 			.write(LogEvent.CALLER_REJECTED, "requestId", call.head().requestId(), "status", rejection.status(),
@@ -201,11 +271,11 @@
 	}
 
 	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller, RouteTable table,
-			Route route, Optional<PoolVersion> origin) {
+			Route route, Optional<PoolVersion> origin, boolean relayed) {
 		PoolId pool = origin.map(PoolVersion::pool).orElseGet(() -> route.pickPool(this.context.nextRandom()));
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
-				origin.map(PoolVersion::softwareVersion), features, table.version());
+				origin.map(PoolVersion::softwareVersion), features, table.version(), relayed);
 		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
 		exchange.start();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallTargets.java
@@ -10,6 +10,7 @@
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.TargetId;
 import org.mustardlane.core.placement.PlacementRequest;
+import org.mustardlane.core.stream.PoolVersion;
 
 /**
  * The targets that one call may be sent to. Each target is tried once, and only while
@@ -28,12 +29,12 @@
 
 	private final Set<TargetId> triedTargets = new HashSet<>();
 
-	private Optional<String> requiredVersion;
+	private Optional<PoolVersion> origin;
 
 	CallTargets(ExchangeContext context, RoutedCall routedCall) {
 		this.context = context;
 		this.routedCall = routedCall;
-		this.requiredVersion = routedCall.softwareVersion();
+		this.origin = routedCall.softwareVersion().map((version) -> new PoolVersion(routedCall.pool(), version));
 	}
 
 	/**
@@ -56,10 +57,10 @@
 
 	private List<TargetEntry> poolTargets() {
 		List<TargetEntry> targets = this.context.routingState().targets().readyTargets(this.routedCall.pool());
-		if (this.requiredVersion.isEmpty()) {
+		if (this.origin.isEmpty()) {
 			return targets;
 		}
-		String version = this.requiredVersion.get();
+		String version = this.origin.get().softwareVersion();
 		return targets.stream().filter((target) -> target.softwareVersion().equals(version)).toList();
 	}
 
@@ -94,10 +95,18 @@
 
 	/**
 	 * Excludes targets of other software versions from further attempts.
-	 * @param version software version that began the stream
+	 * @param version pool and software version that began the stream
 	 */
-	void requireVersion(String version) {
-		this.requiredVersion = Optional.of(version);
+	void requireVersion(PoolVersion version) {
+		this.origin = Optional.of(version);
+	}
+
+	/**
+	 * Returns what began the stream that the call goes on with.
+	 * @return pool and software version, empty if any target may take the call
+	 */
+	Optional<PoolVersion> origin() {
+		return this.origin;
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/DeferredCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/DeferredCall.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import org.mustardlane.gateway.front.EndedCall;
 import org.mustardlane.gateway.front.OpenCall;
 
 /**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -10,23 +10,14 @@
 
 import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.retry.AttemptFailure;
-import org.mustardlane.core.retry.CallState;
 import org.mustardlane.core.retry.NextStep;
-import org.mustardlane.core.retry.RetryRules;
-import org.mustardlane.core.route.Organisation;
-import org.mustardlane.core.route.RequestSemantics;
-import org.mustardlane.core.route.Route;
-import org.mustardlane.core.stream.PoolVersion;
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallerChannel;
 import org.mustardlane.gateway.front.OpenCall;
-import org.mustardlane.gateway.front.Rejection;
 import org.mustardlane.gateway.quarantine.QuarantineMatch;
 import org.mustardlane.gateway.report.CallOutcome;
 import org.mustardlane.gateway.report.LogEvent;
-import org.mustardlane.gateway.wire.Dispatch;
 import org.mustardlane.gateway.wire.ResponseHead;
-import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * One call from its arrival to its outcome.
@@ -52,17 +43,21 @@
 
 	private final CallTargets callTargets;
 
+	private final CallAttempts attempts;
+
+	private final CallRelay relay;
+
+	private final CallEnding ending;
+
 	private final CallEvidence evidence;
 
 	private final CallReport report;
 
-	private Optional<Attempt> currentAttempt = Optional.empty();
+	private final ResponseRecords records;
 
-	private Optional<Future<?>> deadlineTimer = Optional.empty();
-
-	private int possibleExecutions;
+	private Optional<OpenAttempt> currentAttempt = Optional.empty();
 
-	private int sendCount;
+	private Optional<Future<?>> deadlineTimer = Optional.empty();
 
 	private boolean ended;
 
@@ -74,7 +69,11 @@
 		this.callerPresence = new CallerPresence(caller, context.clock());
 		this.responseSink = new ResponseSink(caller);
 		this.callTargets = new CallTargets(context, routedCall);
+		this.attempts = new CallAttempts(context, routedCall, this.callTargets, this.responseSink);
+		this.relay = new CallRelay(context, routedCall, this);
+		this.ending = new CallEnding(context, caller, this.responseSink, this.attempts, this::endCall);
 		this.report = new CallReport(context, routedCall);
+		this.records = new ResponseRecords(context, routedCall, this.callTargets);
 		this.evidence = new CallEvidence(context, routedCall.call().head().requestId(), routedCall.features());
 	}
 
@@ -94,7 +93,7 @@
 		catch (RuntimeException ex) {
 			this.context.log().warn(LogEvent.UNEXPECTED_ERROR, "task", "call", "reason", ex);
 			if (!this.ended) {
-				failCall(HttpResponseStatus.BAD_GATEWAY, "Unexpected error");
+				this.ending.fail(HttpResponseStatus.BAD_GATEWAY, "Unexpected error");
 			}
 		}
 	}
@@ -105,12 +104,14 @@
 		}
 		long remainingMillis = remainingMillis();
 		if (remainingMillis <= 0) {
-			refuseCall("No time is left", CallOutcome.EXPIRED);
+			this.ending.expire(false);
 			return;
 		}
 		this.deadlineTimer = Optional
 			.of(this.context.loop().schedule(this::expire, remainingMillis, TimeUnit.MILLISECONDS));
-		this.context.recordFirstSend(this.routedCall.pool());
+		if (!this.routedCall.relayed()) {
+			this.context.recordFirstSend(this.routedCall.pool());
+		}
 		dispatch();
 	}
 
@@ -127,15 +128,63 @@
 			endAsQuarantined(quarantine.get());
 			return;
 		}
+		if (this.relay.isNeeded() && passOn()) {
+			return;
+		}
 		Optional<TargetEntry> target = this.callTargets.choose();
 		if (target.isEmpty()) {
-			long defaultDelayMillis = RetryAfter.refusalDelayMillis(this.context.nextRandom());
-			giveUp("No target takes the call", this.callTargets.millisUntilCandidate().orElse(defaultDelayMillis));
+			this.ending.giveUp("No target takes the call",
+					this.callTargets.millisUntilCandidate().orElse(this.ending.refusalDelayMillis()));
 			return;
 		}
 		sendTo(target.get());
 	}
 
+	// Returns false if the targets have to be tried, because no router is left to ask.
+	private boolean passOn() {
+		Optional<RelayAttempt> attempt = this.relay.nextAttempt();
+		if (attempt.isPresent()) {
+			this.currentAttempt = Optional.of(attempt.get());
+			attempt.get().send(this.routedCall.call());
+			return true;
+		}
+		if (this.relay.isHopeless()) {
+			giveUp("No router reaches the targets");
+			return true;
+		}
+		return false;
+	}
+
+	/**
+	 * Returns the time left for an attempt that is about to be sent.
+	 * @return the time in milliseconds, or empty if the call must not be sent any more
+	 */
+	Optional<Long> remainingMillisIfWanted() {
+		long remainingMillis = remainingMillis();
+		return (remainingMillis <= 0 || !this.callerPresence.isConnected()) ? Optional.empty()
+				: Optional.of(remainingMillis);
+	}
+
+	/**
+	 * Asks the next router, because one has not taken the call over.
+	 * @param router the router
+	 * @param detail why it has not
+	 */
+	void handleDeclined(TargetEntry router, String detail) {
+		this.relay.recordDeclined(router, detail);
+		this.currentAttempt = Optional.empty();
+		dispatch();
+	}
+
+	/**
+	 * Records that a target could not be connected to.
+	 * @param target the target
+	 */
+	void recordConnectFailure(TargetEntry target) {
+		this.relay.recordConnectFailure();
+		this.context.recordConnectFailure(target);
+	}
+
 	/**
 	 * Ends the call if it is quarantined and its response has not started.
 	 */
@@ -146,50 +195,35 @@
 	}
 
 	private void endAsQuarantined(QuarantineMatch quarantine) {
-		if (this.currentAttempt.filter(Attempt::isSent).isPresent()) {
-			this.possibleExecutions++;
+		if (this.currentAttempt.filter(OpenAttempt::isSent).isPresent()) {
+			this.attempts.recordPossibleExecution();
 		}
-		this.currentAttempt.ifPresent(Attempt::cancel);
+		this.currentAttempt.ifPresent(OpenAttempt::cancel);
 		this.currentAttempt = Optional.empty();
-		giveUp(CallRouter.quarantineReason(quarantine), quarantine.remainingMillis());
+		this.ending.giveUp(CallRouter.quarantineReason(quarantine), quarantine.remainingMillis());
 	}
 
 	private void sendTo(TargetEntry target) {
-		this.sendCount++;
+		this.attempts.recordSend();
 		this.callTargets.markTried(target.id());
 		this.report.recordTarget(target.id().value());
 		Optional<TargetEntry> copySource = this.callTargets.findCopySource(target);
 		Attempt attempt = new Attempt(this.context, this, target);
 		this.currentAttempt = Optional.of(attempt);
 		Call call = this.routedCall.call();
-		attempt.send(requestId(), call.request().method(), () -> createRequest(target, copySource), call.body());
+		attempt.send(this.routedCall.requestId(), call.request().method(), () -> createRequest(target, copySource),
+				call.body());
 	}
 
 	private Optional<HttpRequest> createRequest(TargetEntry target, Optional<TargetEntry> copySource) {
-		long remainingMillis = remainingMillis();
-		if (remainingMillis <= 0 || !this.callerPresence.isConnected()) {
-			return Optional.empty();
-		}
-		Dispatch dispatch = new Dispatch(target.id(), remainingMillis,
-				this.routedCall.organisation().map(Organisation::id), this.routedCall.enginePriority(),
-				this.responseSink.lastEventId(), copySource);
-		return Optional.of(this.context.dialect().createTargetRequest(this.routedCall.call().request(), dispatch));
-	}
-
-	String requestId() {
-		return this.routedCall.call().head().requestId();
+		return remainingMillisIfWanted()
+			.map((remainingMillis) -> this.routedCall.dispatchTo(target, remainingMillis,
+					this.responseSink.lastEventId(), copySource))
+			.map((dispatch) -> this.context.dialect().createTargetRequest(this.routedCall.call().request(), dispatch));
 	}
 
-	/**
-	 * Returns which request of its caller the call continues.
-	 * @return the id of that request, empty if the call starts anew or names none
-	 */
-	String resumedRequestId() {
-		return this.routedCall.call().head().resumption().flatMap(Resumption::requestId).orElse("");
-	}
-
-	Route route() {
-		return this.routedCall.route();
+	RoutedCall routedCall() {
+		return this.routedCall;
 	}
 
 	/**
@@ -201,32 +235,27 @@
 	}
 
 	/**
-	 * Starts to forward a response.
+	 * Starts to forward a response of a target.
 	 * @param head head of the response
 	 * @param target target that sent the response
 	 */
 	void startResponse(ResponseHead head, TargetEntry target) {
-		this.possibleExecutions++;
-		this.report.recordResponseStart();
-		if (head.isSuccess()) {
-			this.routedCall.prefix()
-				.ifPresent((prefix) -> this.context.prefixHolders()
-					.recordResponse(prefix, target, this.context.nowMillis()));
-		}
-		this.responseSink.startResponse(head);
+		this.records.recordStart(head, target);
+		startRelayedResponse(head);
 	}
 
 	/**
-	 * Records that the first event of a stream was forwarded.
-	 * @param target target that sent the event
+	 * Starts to forward a response that another router forwards.
+	 * @param head head of the response
 	 */
-	void recordFirstEvent(TargetEntry target) {
-		this.callTargets.requireVersion(target.softwareVersion());
-		boolean isBeginning = this.routedCall.call().head().resumption().isEmpty();
-		if (isBeginning && route().semantics() == RequestSemantics.RESUMABLE_STREAM) {
-			this.context.streamVersions()
-				.recordFirstEvent(requestId(), new PoolVersion(target.pool(), target.softwareVersion()));
-		}
+	void startRelayedResponse(ResponseHead head) {
+		this.attempts.recordPossibleExecution();
+		this.report.recordResponseStart();
+		this.responseSink.startResponse(head);
+	}
+
+	ResponseRecords records() {
+		return this.records;
 	}
 
 	ResponseSink responseSink() {
@@ -252,10 +281,10 @@
 	boolean handleFailedAttempt(AttemptFailure failure, boolean executionCounted, String detail) {
 		boolean mayHaveExecuted = failure == AttemptFailure.BROKEN || failure == AttemptFailure.FAILURE_ANSWERED;
 		if (mayHaveExecuted && !executionCounted) {
-			this.possibleExecutions++;
+			this.attempts.recordPossibleExecution();
 		}
-		NextStep step = nextStep(failure);
-		this.report.recordFailedAttempt(failure, step, detail, counts());
+		NextStep step = this.attempts.nextStep(failure);
+		this.report.recordFailedAttempt(failure, step, detail, this.attempts.counts());
 		if (step == NextStep.RELAY) {
 			return true;
 		}
@@ -269,30 +298,11 @@
 		return false;
 	}
 
-	private NextStep nextStep(AttemptFailure failure) {
-		NextStep step = RetryRules.nextStep(callState(), failure);
-		if (step == NextStep.GIVE_UP || step == NextStep.RELAY) {
-			return step;
-		}
-		if (!this.responseSink.canResume()) {
-			return NextStep.GIVE_UP;
-		}
-		if (step == NextStep.RETRY_WITHIN_BUDGET
-				&& !(this.callTargets.hasCandidate() && this.context.tryAcquireRetry(this.routedCall.pool()))) {
-			return (failure == AttemptFailure.FAILURE_ANSWERED) ? NextStep.RELAY : NextStep.GIVE_UP;
-		}
-		return step;
-	}
-
 	private void retryDispatch() {
 		this.responseSink.discardPartialEvent();
 		dispatch();
 	}
 
-	private CallReport.Counts counts() {
-		return new CallReport.Counts(this.possibleExecutions, this.sendCount, this.responseSink.eventCount());
-	}
-
 	CallEvidence evidence() {
 		return this.evidence;
 	}
@@ -301,34 +311,34 @@
 		return this.report;
 	}
 
+	CallTargets callTargets() {
+		return this.callTargets;
+	}
+
+	CallAttempts attempts() {
+		return this.attempts;
+	}
+
 	/**
-	 * Reserves a retry at another target to replace the current attempt, which has not
-	 * ended.
-	 * @param executionCounted whether the attempt is already counted as a possible
-	 * execution
-	 * @return true if the retry is allowed, in which case it is deducted from the retry
-	 * budget
+	 * Tells the reachability of the pool if nothing has arrived for long.
 	 */
-	boolean tryReserveRetry(boolean executionCounted) {
-		CallState stateWithAttempt = new CallState(route().semantics(),
-				executionCounted ? this.possibleExecutions : this.possibleExecutions + 1, route().maxAttempts(),
-				this.sendCount);
-		return this.callTargets.hasCandidate() && this.responseSink.canResume()
-				&& RetryRules.canRunAgain(stateWithAttempt) && this.context.tryAcquireRetry(this.routedCall.pool());
+	void reportSilence() {
+		this.currentAttempt.ifPresent(OpenAttempt::reportSilence);
 	}
 
 	/**
 	 * Sends the call to another target, using a retry reserved by
-	 * {@link #tryReserveRetry}.
+	 * {@link CallAttempts#tryReserveRetry}.
 	 * @param executionCounted whether the replaced attempt is already counted as a
 	 * possible execution
 	 * @param detail reason for the retry
 	 */
 	void retry(boolean executionCounted, String detail) {
 		if (!executionCounted) {
-			this.possibleExecutions++;
+			this.attempts.recordPossibleExecution();
 		}
-		this.report.recordFailedAttempt(AttemptFailure.BROKEN, NextStep.RETRY_WITHIN_BUDGET, detail, counts());
+		this.report.recordFailedAttempt(AttemptFailure.BROKEN, NextStep.RETRY_WITHIN_BUDGET, detail,
+				this.attempts.counts());
 		this.currentAttempt = Optional.empty();
 		retryDispatch();
 	}
@@ -341,61 +351,18 @@
 		this.callTargets.allowAgain(target.id());
 	}
 
-	private CallState callState() {
-		return new CallState(route().semantics(), this.possibleExecutions, route().maxAttempts(), this.sendCount);
-	}
-
 	private void giveUp(String detail) {
-		giveUp(detail, Math.max(RetryAfter.refusalDelayMillis(this.context.nextRandom()),
-				this.callTargets.millisUntilAnyTarget()));
-	}
-
-	private void giveUp(String detail, long retryAfterMillis) {
-		if (this.responseSink.isStarted()) {
-			endCall(CallOutcome.BROKEN_OFF, 0, detail);
-			this.caller.abort();
-		}
-		else if (this.possibleExecutions > 0) {
-			failCall(HttpResponseStatus.BAD_GATEWAY, detail);
-		}
-		else {
-			refuseCall(detail, CallOutcome.REFUSED, retryAfterMillis);
-		}
-	}
-
-	private void refuseCall(String detail, CallOutcome outcome) {
-		refuseCall(detail, outcome, RetryAfter.refusalDelayMillis(this.context.nextRandom()));
-	}
-
-	private void refuseCall(String detail, CallOutcome outcome, long retryAfterMillis) {
-		Rejection rejection = Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), detail,
-				retryAfterMillis);
-		endCall(outcome, rejection.status(), detail);
-		this.caller.reject(rejection);
-	}
-
-	private void failCall(HttpResponseStatus status, String detail) {
-		Rejection rejection = Rejection.permanent(status.code(), detail);
-		endCall(CallOutcome.FAILED, status.code(), detail);
-		this.caller.reject(rejection);
+		this.ending.giveUp(detail, Math.max(this.ending.refusalDelayMillis(), this.callTargets.millisUntilAnyTarget()));
 	}
 
 	private void expire() {
 		if (this.ended) {
 			return;
 		}
-		boolean attemptSent = this.currentAttempt.filter(Attempt::isSent).isPresent();
-		this.currentAttempt.ifPresent(Attempt::cancel);
+		boolean attemptSent = this.currentAttempt.filter(OpenAttempt::isSent).isPresent();
+		this.currentAttempt.ifPresent(OpenAttempt::cancel);
 		this.currentAttempt = Optional.empty();
-		if (this.responseSink.isStarted()) {
-			giveUp("The time is up");
-		}
-		else if (attemptSent || this.possibleExecutions > 0) {
-			failCall(HttpResponseStatus.GATEWAY_TIMEOUT, "The time is up");
-		}
-		else {
-			refuseCall("The time is up", CallOutcome.EXPIRED);
-		}
+		this.ending.expire(attemptSent);
 	}
 
 	@Override
@@ -403,7 +370,7 @@
 		if (this.ended) {
 			return;
 		}
-		this.currentAttempt.ifPresent(Attempt::cancel);
+		this.currentAttempt.ifPresent(OpenAttempt::cancel);
 		endCall(CallOutcome.CALLER_GONE, 0, "");
 	}
 
@@ -415,7 +382,7 @@
 	private void endCall(CallOutcome outcome, int status, String detail) {
 		this.ended = true;
 		this.deadlineTimer.ifPresent((timer) -> timer.cancel(false));
-		this.report.recordEnd(outcome, status, detail, counts());
+		this.report.recordEnd(outcome, status, detail, this.attempts.counts());
 		this.onEnd.accept(this);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -7,14 +7,18 @@
 
 import io.netty.channel.EventLoop;
 
+import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.DomainId;
 import org.mustardlane.core.model.common.PoolId;
+import org.mustardlane.core.model.common.VmId;
 import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.placement.LeastLoadedPolicy;
 import org.mustardlane.core.placement.LoadTable;
 import org.mustardlane.core.placement.PlacementPolicy;
+import org.mustardlane.core.placement.PoolReachability;
 import org.mustardlane.core.placement.PrefixHolders;
 import org.mustardlane.core.placement.PrefixPolicy;
+import org.mustardlane.core.relay.RelayPeers;
 import org.mustardlane.core.retry.RetryBudget;
 import org.mustardlane.core.retry.RetryLimits;
 import org.mustardlane.gateway.knowledge.MonotonicClock;
@@ -25,6 +29,7 @@
 import org.mustardlane.gateway.resumption.StreamVersions;
 import org.mustardlane.gateway.target.TargetClient;
 import org.mustardlane.gateway.wire.WireDialect;
+import org.mustardlane.router.peer.PeerAddress;
 
 /**
  * Dependencies and state shared by all calls.
@@ -72,6 +77,16 @@
 
 	private final Map<PoolId, RetryBudget> retryBudgets = new HashMap<>();
 
+	private final Map<PoolId, PoolReachability> reachabilities = new HashMap<>();
+
+	private final TargetReports targetReports = new TargetReports(this);
+
+	private final RelayPeers relayPeers = new RelayPeers();
+
+	private final TargetClient relayClient;
+
+	private final Supplier<Map<VmId, PeerAddress>> routers;
+
 	/**
 	 * Creates the shared context.
 	 * @param loop event loop of the daemon
@@ -82,6 +97,8 @@
 	 * @param log log of decisions
 	 * @param metrics metrics of calls and attempts
 	 * @param retryLimits supplies the limits of the retries to one pool
+	 * @param relayClient sends calls to other routers
+	 * @param routers supplies the addresses at which other routers take calls over
 	 * @param fleetPosition supplies the position of this router among those that share
 	 * the limits
 	 * @param newsAnnouncer lets other routers know at once what this router has learnt
@@ -93,8 +110,9 @@
 	 */
 	public ExchangeContext(EventLoop loop, RoutingState routingState, WireDialect dialect, TargetClient client,
 			MonotonicClock clock, DecisionLog log, GatewayMetrics metrics, Supplier<RetryLimits> retryLimits,
-			Supplier<FleetPosition> fleetPosition, Runnable newsAnnouncer, LoopLag loopLag, CallQuarantine quarantine,
-			StreamVersions streamVersions, DomainId domain, DoubleSupplier random) {
+			TargetClient relayClient, Supplier<Map<VmId, PeerAddress>> routers, Supplier<FleetPosition> fleetPosition,
+			Runnable newsAnnouncer, LoopLag loopLag, CallQuarantine quarantine, StreamVersions streamVersions,
+			DomainId domain, DoubleSupplier random) {
 		this.loop = loop;
 		this.routingState = routingState;
 		this.dialect = dialect;
@@ -103,6 +121,8 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.retryLimits = retryLimits;
+		this.relayClient = relayClient;
+		this.routers = routers;
 		this.fleetPosition = fleetPosition;
 		this.newsAnnouncer = newsAnnouncer;
 		this.loopLag = loopLag;
@@ -135,6 +155,44 @@
 		return this.retryBudgets.computeIfAbsent(pool, (id) -> new RetryBudget());
 	}
 
+	/**
+	 * Returns whether this router reaches the targets of a pool.
+	 * @param pool the pool
+	 * @return the state of the pool
+	 */
+	PoolReachability reachability(PoolId pool) {
+		return this.reachabilities.computeIfAbsent(pool, (id) -> new PoolReachability());
+	}
+
+	/**
+	 * Records that a target could not be connected to.
+	 * @param target the target
+	 */
+	void recordConnectFailure(TargetEntry target) {
+		int readyTargets = this.routingState.targets().readyTargets(target.pool()).size();
+		reachability(target.pool()).recordConnectFailure(target.id(), readyTargets, nowMillis());
+	}
+
+	TargetReports targetReports() {
+		return this.targetReports;
+	}
+
+	RelayPeers relayPeers() {
+		return this.relayPeers;
+	}
+
+	TargetClient relayClient() {
+		return this.relayClient;
+	}
+
+	/**
+	 * Returns the addresses at which other routers take calls over.
+	 * @return the addresses of the known routers
+	 */
+	Map<VmId, PeerAddress> routers() {
+		return this.routers.get();
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResumedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ResumedCall.java
@@ -4,6 +4,7 @@
 import java.util.function.Function;
 
 import org.mustardlane.core.stream.PoolVersion;
+import org.mustardlane.gateway.front.EndedCall;
 import org.mustardlane.gateway.front.OpenCall;
 
 /**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RoutedCall.java
@@ -3,12 +3,15 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.mustardlane.core.directory.TargetEntry;
 import org.mustardlane.core.model.common.PoolId;
 import org.mustardlane.core.placement.SharedPrefix;
 import org.mustardlane.core.route.EngineSpec;
 import org.mustardlane.core.route.Organisation;
 import org.mustardlane.core.route.Route;
 import org.mustardlane.gateway.front.Call;
+import org.mustardlane.gateway.wire.Dispatch;
+import org.mustardlane.gateway.wire.Resumption;
 
 /**
  * A call together with its route.
@@ -24,9 +27,46 @@
  * began its stream, empty if any may take the call
  * @param features features that may crash the targets that run the call
  * @param routesVersion version of the routes that was used
+ * @param relayed whether another router has passed the call on
  */
 record RoutedCall(Call call, Route route, PoolId pool, Optional<Organisation> organisation, Optional<EngineSpec> engine,
-		Optional<String> softwareVersion, CallFeatures features, long routesVersion) {
+		Optional<String> softwareVersion, CallFeatures features, long routesVersion, boolean relayed) {
+
+	/**
+	 * Returns how many targets may execute the call.
+	 * @return the number, 1 for a call that another router has passed on: that one counts
+	 * the executions
+	 */
+	int maxRuns() {
+		return this.relayed ? 1 : this.route.maxAttempts();
+	}
+
+	String requestId() {
+		return this.call.head().requestId();
+	}
+
+	/**
+	 * Returns which request of its caller the call continues.
+	 * @return the id of that request, empty if the call starts anew or names none
+	 */
+	String resumedRequestId() {
+		return this.call.head().resumption().flatMap(Resumption::requestId).orElse("");
+	}
+
+	/**
+	 * Creates what a router adds to the request when it sends the call to a target.
+	 * @param target the target
+	 * @param remainingMillis time left to the target
+	 * @param lastEventId id of the last event that the caller has received, empty for
+	 * none
+	 * @param copySource engine from which the target may copy the shared prefix
+	 * @return the data
+	 */
+	Dispatch dispatchTo(TargetEntry target, long remainingMillis, Optional<String> lastEventId,
+			Optional<TargetEntry> copySource) {
+		return new Dispatch(target.id(), remainingMillis, this.organisation.map(Organisation::id), enginePriority(),
+				lastEventId, copySource);
+	}
 
 	/**
 	 * Returns whether the engines of the pool copy prompt prefixes from each other.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/EndedCall.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/EndedCall.java
@@ -1,11 +1,9 @@
-package org.mustardlane.gateway.exchange;
-
-import org.mustardlane.gateway.front.OpenCall;
+package org.mustardlane.gateway.front;
 
 /**
  * Placeholder for a call that has already ended; ignores all events.
  */
-enum EndedCall implements OpenCall {
+public enum EndedCall implements OpenCall {
 
 	/**
 	 * The only instance.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/RejectionResponse.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/front/RejectionResponse.java
@@ -10,7 +10,7 @@
 /**
  * Creates the headers and the body of the response to a rejected call.
  */
-final class RejectionResponse {
+public final class RejectionResponse {
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
@@ -22,7 +22,7 @@
 	 * @param rejection the rejection
 	 * @return the headers
 	 */
-	static HttpHeaders headers(Rejection rejection) {
+	public static HttpHeaders headers(Rejection rejection) {
 		HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 		rejection.retryAfterMillis()
 			.ifPresent((millis) -> headers.set(HttpHeaderNames.RETRY_AFTER,
@@ -35,7 +35,7 @@
 	 * @param rejection the rejection
 	 * @return the reason as UTF-8 text
 	 */
-	static byte[] body(Rejection rejection) {
+	public static byte[] body(Rejection rejection) {
 		return (rejection.reason() + "\n").getBytes(StandardCharsets.UTF_8);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -148,13 +149,14 @@
 
 	/**
 	 * Starts to send digests.
-	 * @param address address at which this router listens for other routers
+	 * @param endpoint where other routers can reach this one
 	 */
-	public void start(PeerAddress address) {
+	public void start(RouterEndpoint endpoint) {
 		this.ownAddress = RouterAddress.newBuilder()
 			.setVm(this.ownVm.value())
-			.setHost(address.host())
-			.setPort(address.port())
+			.setHost(endpoint.gossip().host())
+			.setPort(endpoint.gossip().port())
+			.setCallPort(endpoint.callPort().orElse(0))
 			.build();
 		this.quarantine.addListener(this);
 		runRound();
@@ -290,7 +292,7 @@
 
 	private void applyDigest(KnowledgeDigest digest) {
 		VmId sender = new VmId(digest.getSender().getVm());
-		addPeer(sender, new PeerAddress(digest.getSender().getHost(), digest.getSender().getPort()));
+		addPeer(sender, endpointOf(digest.getSender()));
 		this.registry.recordContact(sender);
 		if (digest.hasRoutes()) {
 			this.routingState.applyRoutes(DigestCodec.decode(digest.getRoutes()), sender.value());
@@ -301,6 +303,11 @@
 		applyNews(digest, sender);
 	}
 
+	private static RouterEndpoint endpointOf(RouterAddress sender) {
+		OptionalInt callPort = (sender.getCallPort() == 0) ? OptionalInt.empty() : OptionalInt.of(sender.getCallPort());
+		return new RouterEndpoint(new PeerAddress(sender.getHost(), sender.getPort()), callPort);
+	}
+
 	private void applyNews(KnowledgeDigest digest, VmId sender) {
 		try {
 			applyLimits(digest, sender);
@@ -325,15 +332,22 @@
 	/**
 	 * Adds a router or updates its address.
 	 * @param vm the VM of the router
-	 * @param address address that the router listens on
+	 * @param endpoint where the router can be reached
 	 */
-	public void addPeer(VmId vm, PeerAddress address) {
-		if (this.registry.addOrUpdate(vm, address)) {
-			this.log.write(LogEvent.PEER_CHANGED, "peer", vm, "state", "found", "address",
-					address.host() + ":" + address.port());
+	public void addPeer(VmId vm, RouterEndpoint endpoint) {
+		if (this.registry.addOrUpdate(vm, endpoint)) {
+			this.log.write(LogEvent.PEER_CHANGED, "peer", vm, "state", "found", "address", endpoint.toText());
 		}
 	}
 
+	/**
+	 * Returns the addresses at which other routers take calls over.
+	 * @return the addresses of the known routers
+	 */
+	public Map<VmId, PeerAddress> callAddresses() {
+		return this.registry.callAddresses();
+	}
+
 	/**
 	 * Returns the position of this router among the routers that share the limits of the
 	 * fleet.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerRegistry.java
@@ -37,6 +37,8 @@
 
 	private final Map<VmId, Peer> peers = new HashMap<>();
 
+	private final Map<VmId, RouterEndpoint> endpoints = new HashMap<>();
+
 	private final List<PeerAddress> seeds;
 
 	PeerRegistry(VmId ownVm, List<PeerAddress> seeds) {
@@ -47,13 +49,15 @@
 	/**
 	 * Adds a router or updates its address.
 	 * @param vm the VM of the router
-	 * @param address address that the router listens on
+	 * @param endpoint where the router can be reached
 	 * @return true if the router or its address is new
 	 */
-	boolean addOrUpdate(VmId vm, PeerAddress address) {
+	boolean addOrUpdate(VmId vm, RouterEndpoint endpoint) {
 		if (vm.equals(this.ownVm)) {
 			return false;
 		}
+		this.endpoints.put(vm, endpoint);
+		PeerAddress address = endpoint.gossip();
 		Peer current = this.peers.get(vm);
 		if (current != null && current.address.equals(address)) {
 			return false;
@@ -135,6 +139,16 @@
 		return addresses;
 	}
 
+	/**
+	 * Returns the addresses at which other routers take calls over.
+	 * @return the addresses of the routers that state one
+	 */
+	Map<VmId, PeerAddress> callAddresses() {
+		Map<VmId, PeerAddress> addresses = new HashMap<>();
+		this.endpoints.forEach((vm, endpoint) -> endpoint.calls().ifPresent((address) -> addresses.put(vm, address)));
+		return addresses;
+	}
+
 	/**
 	 * Returns the position of this router among all routers, which share the limits of
 	 * the fleet. Routers that do not reply are counted, because they may still use their
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -92,6 +92,16 @@
 	 */
 	CALL_SENT("call-sent"),
 
+	/**
+	 * A call was passed on to another router.
+	 */
+	CALL_RELAYED("call-relayed"),
+
+	/**
+	 * Another router has not taken a call over.
+	 */
+	RELAY_DECLINED("relay-declined"),
+
 	/**
 	 * An attempt ended without a usable response.
 	 */
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -72,16 +72,17 @@
 	 * @param target the target
 	 * @param requestId id of the call, which the response must repeat
 	 * @param semantics whether the call may be executed more than once
+	 * @param newConnection whether the call needs a new connection
 	 * @param method method of the request
 	 * @param requestSource creates the head of the request when it is sent
 	 * @param body body of the request, empty for none
 	 * @param listener receives the events of the call
 	 * @return the call, which can be cancelled
 	 */
-	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, HttpMethod method,
-			RequestSource requestSource, byte[] body, CallListener listener) {
+	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, boolean newConnection,
+			HttpMethod method, RequestSource requestSource, byte[] body, CallListener listener) {
 		TargetCall call = new TargetCall(requestId, method, requestSource, body, listener, this.dialect, this.clock);
-		Optional<PooledConnection> idleConnection = HttpMethod.HEAD.equals(method) ? Optional.empty()
+		Optional<PooledConnection> idleConnection = (newConnection || HttpMethod.HEAD.equals(method)) ? Optional.empty()
 				: takeIdle(target, semantics);
 		if (idleConnection.isPresent()) {
 			call.assign(idleConnection.get());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
@@ -36,6 +36,16 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
+	/**
+	 * Returns this head as the response to another call.
+	 * @param otherRequestId id of the call, empty if it is not known
+	 * @return the head, which shares its headers with this one
+	 */
+	public ResponseHead withRequestId(Optional<String> otherRequestId) {
+		return new ResponseHead(this.status, otherRequestId, this.notExecuted, this.sealed, this.contentEncoded,
+				this.eventStream, this.load, this.limitPerSecond, this.leaving, this.pauseMillis, this.headers);
+	}
+
 	/**
 	 * Returns whether the call succeeded.
 	 * @return true for a status from 200 to 299
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/WireDialect.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/WireDialect.java
@@ -1,5 +1,7 @@
 package org.mustardlane.gateway.wire;
 
+import java.util.Optional;
+
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -29,6 +31,17 @@
 	 */
 	HttpRequest createTargetRequest(HttpRequest call, Dispatch dispatch);
 
+	/**
+	 * Creates the head of the request to a router that takes the call over. All headers
+	 * of the caller are copied, but for hop-by-hop headers.
+	 * @param call the request of the caller
+	 * @param remainingMillis time left to complete the call
+	 * @param resumeAfterEventId id of the last event that the caller has received, empty
+	 * to leave what the caller has asked for
+	 * @return the head of the request, without framing headers
+	 */
+	HttpRequest createRelayRequest(HttpRequest call, long remainingMillis, Optional<String> resumeAfterEventId);
+
 	/**
 	 * Reads the head of a response.
 	 * @param response the response of the target
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -71,8 +71,8 @@
 		this.routingState = new RoutingState(new SingleRouteDecoder(), log, this.nowMillis::get, () -> {
 		});
 		ExchangeContext context = new ExchangeContext(this.loop, this.routingState, null, null, this.nowMillis::get,
-				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), () -> new FleetPosition(0, 1),
-				() -> {
+				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), null, Map::of,
+				() -> new FleetPosition(0, 1), () -> {
 				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
 				new StreamVersions(this.routingState.targets(), null, this.loop, this.nowMillis::get, log, () -> 1),
 				new DomainId("north"), () -> 0.5);
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/RoutedCallTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/RoutedCallTests.java
@@ -29,7 +29,7 @@
 		Route route = new Route("r", "h", "/", RequestSemantics.STREAM, 1000, 100, 0, 2,
 				List.of(new WeightedPool(POOL, 1)), 1, false);
 		return new RoutedCall(null, route, POOL, organisation, engine, Optional.empty(),
-				new CallFeatures(List.of(), List.of()), 1);
+				new CallFeatures(List.of(), List.of()), 1, false);
 	}
 
 	private static Optional<Organisation> organisation(OptionalInt priority) {
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/peer/PeerRegistryTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 
@@ -30,6 +31,10 @@
 		return new PeerRegistry(new VmId("self"), List.of(SEED_ADDRESS));
 	}
 
+	private static RouterEndpoint endpoint(PeerAddress address) {
+		return new RouterEndpoint(address, OptionalInt.empty());
+	}
+
 	@Test
 	public void seedsAreContactedWhileNoRouterIsKnown() {
 		assertEquals(createRegistry().pickPeer(() -> 0, 0, false), Optional.of(SEED_ADDRESS));
@@ -37,13 +42,13 @@
 
 	@Test
 	public void routerIsNotItsOwnPeer() {
-		assertFalse(createRegistry().addOrUpdate(new VmId("self"), PEER_ADDRESS));
+		assertFalse(createRegistry().addOrUpdate(new VmId("self"), endpoint(PEER_ADDRESS)));
 	}
 
 	@Test
 	public void unresponsiveRouterIsContactedAgainAfterItsBackoff() {
 		PeerRegistry registry = createRegistry();
-		assertTrue(registry.addOrUpdate(new VmId("one"), PEER_ADDRESS));
+		assertTrue(registry.addOrUpdate(new VmId("one"), endpoint(PEER_ADDRESS)));
 		registry.recordFailure(PEER_ADDRESS, 0);
 		assertEquals(registry.pickPeer(() -> 0, 500, false), Optional.empty());
 		assertEquals(registry.pickPeer(() -> 0, 1000, false), Optional.of(PEER_ADDRESS));
@@ -52,7 +57,7 @@
 	@Test
 	public void partitionedRouterIgnoresTheBackoffOfOthers() {
 		PeerRegistry registry = createRegistry();
-		registry.addOrUpdate(new VmId("one"), PEER_ADDRESS);
+		registry.addOrUpdate(new VmId("one"), endpoint(PEER_ADDRESS));
 		registry.recordFailure(PEER_ADDRESS, 0);
 		assertEquals(registry.pickPeer(() -> 0, 500, true), Optional.of(PEER_ADDRESS));
 	}
@@ -60,7 +65,7 @@
 	@Test
 	public void unresponsiveRouterKeepsItsShareOfTheLimits() {
 		PeerRegistry registry = createRegistry();
-		registry.addOrUpdate(new VmId("one"), PEER_ADDRESS);
+		registry.addOrUpdate(new VmId("one"), endpoint(PEER_ADDRESS));
 		for (int failure = 0; failure < 10; failure++) {
 			registry.recordFailure(PEER_ADDRESS, failure * 1000L);
 		}
@@ -70,9 +75,9 @@
 	@Test
 	public void newAddressOfARestartedRouterReplacesTheOldAddress() {
 		PeerRegistry registry = createRegistry();
-		registry.addOrUpdate(new VmId("one"), PEER_ADDRESS);
+		registry.addOrUpdate(new VmId("one"), endpoint(PEER_ADDRESS));
 		PeerAddress newAddress = new PeerAddress("10.0.0.2", 1);
-		assertTrue(registry.addOrUpdate(new VmId("one"), newAddress));
+		assertTrue(registry.addOrUpdate(new VmId("one"), endpoint(newAddress)));
 		assertEquals(registry.pickPeer(() -> 0, 0, false), Optional.of(newAddress));
 	}
 
@@ -149,7 +154,7 @@
 		for (int index = 0; index < routers; index++) {
 			PeerRegistry registry = new PeerRegistry(new VmId("vm-" + index), List.of());
 			for (int other = 0; other < routers; other++) {
-				registry.addOrUpdate(new VmId("vm-" + other), new PeerAddress("10.0.0.1", other + 1));
+				registry.addOrUpdate(new VmId("vm-" + other), endpoint(new PeerAddress("10.0.0.1", other + 1)));
 			}
 			fleet.add(registry);
 		}
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/RouterAddress.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/RouterAddress.java
@@ -139,6 +139,21 @@
     return port_;
   }
 
+  public static final int CALL_PORT_FIELD_NUMBER = 4;
+  private int callPort_ = 0;
+  /**
+   * <pre>
+   * Port at which the router takes over calls of other routers; 0 if it does not.
+   * </pre>
+   *
+   * <code>uint32 call_port = 4;</code>
+   * @return The callPort.
+   */
+  @java.lang.Override
+  public int getCallPort() {
+    return callPort_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +177,9 @@
     if (port_ != 0) {
       output.writeUInt32(3, port_);
     }
+    if (callPort_ != 0) {
+      output.writeUInt32(4, callPort_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -176,6 +194,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, port_);
     }
+    if (callPort_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, callPort_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +228,8 @@
         .equals(other.getHost())) return false;
     if (getPort()
         != other.getPort()) return false;
+    if (getCallPort()
+        != other.getCallPort()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -223,6 +247,8 @@
     hash = (53 * hash) + getHost().hashCode();
     hash = (37 * hash) + PORT_FIELD_NUMBER;
     hash = (53 * hash) + getPort();
+    hash = (37 * hash) + CALL_PORT_FIELD_NUMBER;
+    hash = (53 * hash) + getCallPort();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -357,6 +383,7 @@
       vm_ = "";
       host_ = "";
       port_ = 0;
+      callPort_ = 0;
       return this;
     }
 
@@ -399,6 +426,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.port_ = port_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.callPort_ = callPort_;
+      }
     }
 
     @java.lang.Override
@@ -426,6 +456,9 @@
       if (other.getPort() != 0) {
         setPort(other.getPort());
       }
+      if (other.getCallPort() != 0) {
+        setCallPort(other.getCallPort());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -465,6 +498,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              callPort_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -658,6 +696,50 @@
       return this;
     }
 
+    private int callPort_ ;
+    /**
+     * <pre>
+     * Port at which the router takes over calls of other routers; 0 if it does not.
+     * </pre>
+     *
+     * <code>uint32 call_port = 4;</code>
+     * @return The callPort.
+     */
+    @java.lang.Override
+    public int getCallPort() {
+      return callPort_;
+    }
+    /**
+     * <pre>
+     * Port at which the router takes over calls of other routers; 0 if it does not.
+     * </pre>
+     *
+     * <code>uint32 call_port = 4;</code>
+     * @param value The callPort to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallPort(int value) {
+
+      callPort_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Port at which the router takes over calls of other routers; 0 if it does not.
+     * </pre>
+     *
+     * <code>uint32 call_port = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallPort() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      callPort_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.RouterAddress)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/RouterAddressOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/RouterAddressOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The port.
    */
   int getPort();
+
+  /**
+   * <pre>
+   * Port at which the router takes over calls of other routers; 0 if it does not.
+   * </pre>
+   *
+   * <code>uint32 call_port = 4;</code>
+   * @return The callPort.
+   */
+  int getCallPort();
 }
