--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/TargetLoad.java
@@ -58,6 +58,8 @@
 
 	private RequestedPause requestedPause = RequestedPause.NONE;
 
+	private final BrittleGuard brittleGuard = new BrittleGuard();
+
 	/**
 	 * Records that this router sends a request to the target.
 	 * @param nowMillis the current time
@@ -121,14 +123,36 @@
 
 	/**
 	 * Returns the time until this router may send a request without exceeding its share
-	 * of the limit of the target, and not during a pause that the target has asked for.
+	 * of the limit of the target, within the room of a target that refusals bring down,
+	 * and not during a pause that the target has asked for.
 	 * @param target the current entry of the target
 	 * @param nowMillis the current time
 	 * @return the time in milliseconds, 0 if a request may be sent now
 	 */
 	public long millisUntilAdmitted(TargetEntry target, long nowMillis) {
 		long untilPermitMillis = this.rateShare.map((share) -> share.millisUntilPermit(nowMillis)).orElse(0L);
-		return Math.max(untilPermitMillis, this.requestedPause.remainingMillis(target, nowMillis));
+		int slots = (this.sample.slots() > 0) ? this.sample.slots() : target.slots();
+		long untilRoomMillis = this.brittleGuard.waitMillis(estimate(nowMillis), hasRecentSample(nowMillis), slots,
+				nowMillis);
+		return Math.max(Math.max(untilPermitMillis, untilRoomMillis),
+				this.requestedPause.remainingMillis(target, nowMillis));
+	}
+
+	/**
+	 * Stores whether refusals bring the target down, unless a newer report is known.
+	 * @param reported the report
+	 * @param position this router, which may use a share of the room
+	 */
+	public void updateBrittleness(Brittleness reported, FleetPosition position) {
+		this.brittleGuard.update(reported, position);
+	}
+
+	/**
+	 * Returns whether refusals bring the target down.
+	 * @return the newest report, or {@link Brittleness#NONE} if there is none
+	 */
+	public Brittleness brittleness() {
+		return this.brittleGuard.brittleness();
 	}
 
 	/**
@@ -215,6 +239,7 @@
 	 */
 	public void recordRejection(long nowMillis) {
 		this.pauseEndMillis = Math.max(this.pauseEndMillis, nowMillis + REJECTION_PAUSE_MILLIS);
+		this.brittleGuard.recordRefusal(nowMillis);
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/TargetReports.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/TargetReports.java
@@ -1,6 +1,7 @@
 package org.mustardlane.gateway.exchange;
 
 import org.mustardlane.core.directory.TargetEntry;
+import org.mustardlane.core.placement.Brittleness;
 import org.mustardlane.core.placement.RequestedPause;
 import org.mustardlane.core.placement.TargetLimit;
 import org.mustardlane.core.placement.TargetLoad;
@@ -35,6 +36,7 @@
 			return;
 		}
 		updateLimit(head, target, load, nowMillis);
+		load.updateBrittleness(new Brittleness(head.fatalRefusalsPerSecond(), nowMillis), this.context.fleetPosition());
 		if (head.leaving()) {
 			this.context.routingState().markLeaving(target);
 		}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/DigestCodec.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/DigestCodec.java
@@ -1,13 +1,17 @@
 package org.mustardlane.gateway.peer;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import com.google.protobuf.ByteString;
 
 import org.mustardlane.core.directory.LogPosition;
 import org.mustardlane.core.model.common.TargetId;
+import org.mustardlane.core.placement.Brittleness;
+import org.mustardlane.core.placement.FleetPosition;
 import org.mustardlane.core.placement.LoadSample;
 import org.mustardlane.core.placement.LoadTable;
+import org.mustardlane.core.placement.TargetLoad;
 import org.mustardlane.gateway.knowledge.KeyedRecord;
 import org.mustardlane.protocol.KnowledgeDigest;
 import org.mustardlane.protocol.LogRecord;
@@ -60,13 +64,15 @@
 		loads.snapshot().forEach((target, load) -> {
 			long ageMillis = nowMillis - load.sample().receivedAtMillis();
 			if (ageMillis <= MAX_LOAD_AGE_MILLIS) {
-				digest.addLoads(StatedLoad.newBuilder()
+				StatedLoad.Builder message = StatedLoad.newBuilder()
 					.setTarget(target.value())
 					.setRunning(load.sample().running())
 					.setWaiting(load.sample().waiting())
 					.setSlots(load.sample().slots())
 					.setSlownessPercent(load.sample().slownessPercent())
-					.setAgeMillis((int) ageMillis));
+					.setAgeMillis((int) ageMillis);
+				load.brittleness().fatalRefusalsPerSecond().ifPresent(message::setFatalRefusalsPerSecond);
+				digest.addLoads(message);
 			}
 		});
 	}
@@ -75,13 +81,18 @@
 	 * Applies the loads that a peer relayed.
 	 * @param digest digest of the peer
 	 * @param loads table to update
+	 * @param position this router
 	 * @param nowMillis current time
 	 */
-	static void applyLoads(KnowledgeDigest digest, LoadTable loads, long nowMillis) {
+	static void applyLoads(KnowledgeDigest digest, LoadTable loads, FleetPosition position, long nowMillis) {
 		for (StatedLoad reported : digest.getLoadsList()) {
-			loads.of(new TargetId(reported.getTarget()))
-				.updateSample(new LoadSample(reported.getRunning(), reported.getWaiting(), reported.getSlots(),
-						reported.getSlownessPercent(), nowMillis - reported.getAgeMillis()));
+			TargetLoad load = loads.of(new TargetId(reported.getTarget()));
+			long reportedAtMillis = nowMillis - reported.getAgeMillis();
+			load.updateSample(new LoadSample(reported.getRunning(), reported.getWaiting(), reported.getSlots(),
+					reported.getSlownessPercent(), reportedAtMillis));
+			OptionalInt refusals = reported.hasFatalRefusalsPerSecond()
+					? OptionalInt.of(reported.getFatalRefusalsPerSecond()) : OptionalInt.empty();
+			load.updateBrittleness(new Brittleness(refusals, reportedAtMillis), position);
 		}
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/peer/PeerGossip.java
@@ -299,7 +299,7 @@
 		}
 		List<KeyedRecord> relayedTargets = digest.getTargetsList().stream().map(DigestCodec::decode).toList();
 		this.routingState.applyRelayedTargets(relayedTargets);
-		DigestCodec.applyLoads(digest, this.loads, this.clock.nowMillis());
+		DigestCodec.applyLoads(digest, this.loads, position(), this.clock.nowMillis());
 		applyNews(digest, sender);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/wire/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -21,6 +22,8 @@
  * @param load load that the target reports, empty if it reports none
  * @param limitPerSecond requests per second that the target accepts from all routers
  * together, empty if it reports no limit
+ * @param fatalRefusalsPerSecond number of refusals in one second that bring the target
+ * down, empty if it does not say so
  * @param leaving whether the target states that it leaves
  * @param pauseMillis how long the target wants no further requests from this router,
  * empty if it does not say so
@@ -28,7 +31,7 @@
  */
 public record ResponseHead(int status, Optional<String> requestId, boolean notExecuted, boolean sealed,
 		boolean contentEncoded, boolean eventStream, Optional<LoadSample> load, OptionalDouble limitPerSecond,
-		boolean leaving, OptionalLong pauseMillis, HttpHeaders headers) {
+		OptionalInt fatalRefusalsPerSecond, boolean leaving, OptionalLong pauseMillis, HttpHeaders headers) {
 
 	private static final int FIRST_SUCCESS = 200;
 
@@ -43,7 +46,8 @@
 	 */
 	public ResponseHead withRequestId(Optional<String> otherRequestId) {
 		return new ResponseHead(this.status, otherRequestId, this.notExecuted, this.sealed, this.contentEncoded,
-				this.eventStream, this.load, this.limitPerSecond, this.leaving, this.pauseMillis, this.headers);
+				this.eventStream, this.load, this.limitPerSecond, this.fatalRefusalsPerSecond, this.leaving,
+				this.pauseMillis, this.headers);
 	}
 
 	/**
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/Knowledge.java
@@ -116,19 +116,21 @@
       "s\030\002 \001(\003\"J\n\rRouterAddress\022\n\n\002vm\030\001 \001(\t\022\014\n\004" +
       "host\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\021\n\tcall_port\030\004 " +
       "\001(\r\"E\n\tLogRecord\022\013\n\003key\030\001 \001(\t\022\016\n\006offset\030" +
-      "\002 \001(\003\022\014\n\004body\030\003 \001(\014\022\r\n\005epoch\030\004 \001(\003\"{\n\nSt" +
-      "atedLoad\022\016\n\006target\030\001 \001(\t\022\017\n\007running\030\002 \001(" +
-      "\r\022\017\n\007waiting\030\003 \001(\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020slo" +
-      "wness_percent\030\005 \001(\r\022\022\n\nage_millis\030\006 \001(\r\"" +
-      "E\n\023StreamOriginsRecord\022.\n\006groups\030\001 \003(\0132\036" +
-      ".mustardlane.StreamOriginGroup\"P\n\021Stream" +
-      "OriginGroup\022\014\n\004pool\030\001 \001(\t\022\030\n\020software_ve" +
-      "rsion\030\002 \001(\t\022\023\n\013request_ids\030\003 \003(\t\";\n\021Pool" +
-      "VersionRecord\022\014\n\004pool\030\001 \001(\t\022\030\n\020software_" +
-      "version\030\002 \001(\t2Z\n\020KnowledgeService\022F\n\010Exc" +
-      "hange\022\034.mustardlane.KnowledgeDigest\032\034.mu" +
-      "stardlane.KnowledgeDigestB\034\n\030org.mustard" +
-      "lane.protocolP\001b\006proto3"
+      "\002 \001(\003\022\014\n\004body\030\003 \001(\014\022\r\n\005epoch\030\004 \001(\003\"\301\001\n\nS" +
+      "tatedLoad\022\016\n\006target\030\001 \001(\t\022\017\n\007running\030\002 \001" +
+      "(\r\022\017\n\007waiting\030\003 \001(\r\022\r\n\005slots\030\004 \001(\r\022\030\n\020sl" +
+      "owness_percent\030\005 \001(\r\022\022\n\nage_millis\030\006 \001(\r" +
+      "\022&\n\031fatal_refusals_per_second\030\007 \001(\rH\000\210\001\001" +
+      "B\034\n\032_fatal_refusals_per_second\"E\n\023Stream" +
+      "OriginsRecord\022.\n\006groups\030\001 \003(\0132\036.mustardl" +
+      "ane.StreamOriginGroup\"P\n\021StreamOriginGro" +
+      "up\022\014\n\004pool\030\001 \001(\t\022\030\n\020software_version\030\002 \001" +
+      "(\t\022\023\n\013request_ids\030\003 \003(\t\";\n\021PoolVersionRe" +
+      "cord\022\014\n\004pool\030\001 \001(\t\022\030\n\020software_version\030\002" +
+      " \001(\t2Z\n\020KnowledgeService\022F\n\010Exchange\022\034.m" +
+      "ustardlane.KnowledgeDigest\032\034.mustardlane" +
+      ".KnowledgeDigestB\034\n\030org.mustardlane.prot" +
+      "ocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -181,7 +183,7 @@
     internal_static_mustardlane_StatedLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mustardlane_StatedLoad_descriptor,
-        new java.lang.String[] { "Target", "Running", "Waiting", "Slots", "SlownessPercent", "AgeMillis", });
+        new java.lang.String[] { "Target", "Running", "Waiting", "Slots", "SlownessPercent", "AgeMillis", "FatalRefusalsPerSecond", });
     internal_static_mustardlane_StreamOriginsRecord_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_mustardlane_StreamOriginsRecord_fieldAccessorTable = new
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoad.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoad.java
@@ -49,6 +49,7 @@
             org.mustardlane.protocol.StatedLoad.class, org.mustardlane.protocol.StatedLoad.Builder.class);
   }
 
+  private int bitField0_;
   public static final int TARGET_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object target_ = "";
@@ -147,6 +148,33 @@
     return ageMillis_;
   }
 
+  public static final int FATAL_REFUSALS_PER_SECOND_FIELD_NUMBER = 7;
+  private int fatalRefusalsPerSecond_ = 0;
+  /**
+   * <pre>
+   * Number of refusals in one second that bring the target down; unset if they do no harm.
+   * </pre>
+   *
+   * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+   * @return Whether the fatalRefusalsPerSecond field is set.
+   */
+  @java.lang.Override
+  public boolean hasFatalRefusalsPerSecond() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Number of refusals in one second that bring the target down; unset if they do no harm.
+   * </pre>
+   *
+   * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+   * @return The fatalRefusalsPerSecond.
+   */
+  @java.lang.Override
+  public int getFatalRefusalsPerSecond() {
+    return fatalRefusalsPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -179,6 +207,9 @@
     if (ageMillis_ != 0) {
       output.writeUInt32(6, ageMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(7, fatalRefusalsPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -206,6 +237,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, ageMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(7, fatalRefusalsPerSecond_);
+    }
     return size;
   }
   @java.lang.Override
@@ -242,6 +277,11 @@
         != other.getSlownessPercent()) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (hasFatalRefusalsPerSecond() != other.hasFatalRefusalsPerSecond()) return false;
+    if (hasFatalRefusalsPerSecond()) {
+      if (getFatalRefusalsPerSecond()
+          != other.getFatalRefusalsPerSecond()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -265,6 +305,10 @@
     hash = (53 * hash) + getSlownessPercent();
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
+    if (hasFatalRefusalsPerSecond()) {
+      hash = (37 * hash) + FATAL_REFUSALS_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + getFatalRefusalsPerSecond();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -402,6 +446,7 @@
       slots_ = 0;
       slownessPercent_ = 0;
       ageMillis_ = 0;
+      fatalRefusalsPerSecond_ = 0;
       return this;
     }
 
@@ -453,6 +498,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.fatalRefusalsPerSecond_ = fatalRefusalsPerSecond_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -487,6 +538,9 @@
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.hasFatalRefusalsPerSecond()) {
+        setFatalRefusalsPerSecond(other.getFatalRefusalsPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -541,6 +595,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              fatalRefusalsPerSecond_ = input.readUInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -802,6 +861,62 @@
       return this;
     }
 
+    private int fatalRefusalsPerSecond_ ;
+    /**
+     * <pre>
+     * Number of refusals in one second that bring the target down; unset if they do no harm.
+     * </pre>
+     *
+     * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+     * @return Whether the fatalRefusalsPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasFatalRefusalsPerSecond() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Number of refusals in one second that bring the target down; unset if they do no harm.
+     * </pre>
+     *
+     * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+     * @return The fatalRefusalsPerSecond.
+     */
+    @java.lang.Override
+    public int getFatalRefusalsPerSecond() {
+      return fatalRefusalsPerSecond_;
+    }
+    /**
+     * <pre>
+     * Number of refusals in one second that bring the target down; unset if they do no harm.
+     * </pre>
+     *
+     * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+     * @param value The fatalRefusalsPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFatalRefusalsPerSecond(int value) {
+
+      fatalRefusalsPerSecond_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of refusals in one second that bring the target down; unset if they do no harm.
+     * </pre>
+     *
+     * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFatalRefusalsPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      fatalRefusalsPerSecond_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mustardlane.StatedLoad)
   }
 
--- a/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoadOrBuilder.java
+++ b/mustardlane-protocol/src/main/java/org/mustardlane/protocol/StatedLoadOrBuilder.java
@@ -55,4 +55,23 @@
    * @return The ageMillis.
    */
   int getAgeMillis();
+
+  /**
+   * <pre>
+   * Number of refusals in one second that bring the target down; unset if they do no harm.
+   * </pre>
+   *
+   * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+   * @return Whether the fatalRefusalsPerSecond field is set.
+   */
+  boolean hasFatalRefusalsPerSecond();
+  /**
+   * <pre>
+   * Number of refusals in one second that bring the target down; unset if they do no harm.
+   * </pre>
+   *
+   * <code>optional uint32 fatal_refusals_per_second = 7;</code>
+   * @return The fatalRefusalsPerSecond.
+   */
+  int getFatalRefusalsPerSecond();
 }
