--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -59,8 +59,8 @@
 	 */
 	void recordLostConnection(TargetEntry target, long sentAtMillis) {
 		List<CallFeature> promptParts = this.responseStarted ? List.of() : this.features.promptParts();
-		this.context.quarantine()
-			.recordLoss(new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
+		this.context.crashCheck()
+			.check(target, new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
 					this.responseStarted, sentAtMillis, this.context.nowMillis()));
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/ExchangeContext.java
@@ -81,6 +81,8 @@
 
 	private final TargetReports targetReports = new TargetReports(this);
 
+	private final CrashCheck crashCheck = new CrashCheck(this);
+
 	private final RelayPeers relayPeers = new RelayPeers();
 
 	private final TargetClient relayClient;
@@ -173,6 +175,10 @@
 		reachability(target.pool()).recordConnectFailure(target.id(), readyTargets, nowMillis());
 	}
 
+	CrashCheck crashCheck() {
+		return this.crashCheck;
+	}
+
 	TargetReports targetReports() {
 		return this.targetReports;
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/report/LogEvent.java
@@ -66,6 +66,11 @@
 	 */
 	CRASH_EVIDENCE_CONTRADICTED("crash-evidence-contradicted"),
 
+	/**
+	 * A target that has ended a connection has not crashed, or this router cannot tell.
+	 */
+	CRASH_RULED_OUT("crash-ruled-out"),
+
 	/**
 	 * A target has reported how many requests per second it accepts, or reports no limit
 	 * any more.
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -6,12 +6,16 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -134,6 +138,23 @@
 		connection.attach(bootstrap.connect(target.host(), target.port()));
 	}
 
+	/**
+	 * Finds out whether a target accepts a connection, which is closed at once.
+	 * @param target the target
+	 * @param listener is told whether the connection was established
+	 */
+	public void checkConnection(TargetEntry target, Consumer<Boolean> listener) {
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(target.host(), target.port())
+			.addListener((ChannelFuture future) -> {
+				future.channel().close();
+				listener.accept(future.isSuccess());
+			});
+	}
+
 	private void keepIdle(PooledConnection connection) {
 		Deque<PooledConnection> connections = this.idleConnections.computeIfAbsent(connection.address(),
 				(address) -> new ArrayDeque<>());
