--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetResponseDecoder.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.mustardlane.gateway.target;
 
+import java.util.regex.Pattern;
+
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -10,6 +12,8 @@
  */
 final class TargetResponseDecoder extends HttpResponseDecoder {
 
+	private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
+
 	private final boolean headRequest;
 
 	/**
@@ -22,6 +26,15 @@
 		this.headRequest = HttpMethod.HEAD.equals(method);
 	}
 
+	// The superclass takes any number for a status.
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		if (!STATUS.matcher(initialLine[1]).matches()) {
+			throw new IllegalArgumentException("no status: " + initialLine[1]);
+		}
+		return super.createMessage(initialLine);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.headRequest || super.isContentAlwaysEmpty(message);
