A router reads the targets before it takes the version it knows for the only one (ORDER)

Report of another operator: one machine was out of step while servers of a new version joined; streams that began there went on, at that machine, at another version. It could happen here: a router that knew one version of a pool took it for the origin of any stream, however old its view was. streamsOfAVersionThatJoinedUnnoticedDoNotGoOnAtTheOther failed 2 of 2 on: the events of the other version came with 200.

Cause: what a router does not know was taken for what is not. Now a stream of unknown origin goes on at the only version only after the targets were read, since it was taken up, and the stored versions again after a pause or an outage of the log. A router that cannot read them refuses the call, and says that another router may know.

--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -162,8 +162,8 @@
 		this.targetClient = new TargetClient(this.loop, adapter.dialect(), this.clock);
 		this.relayClient = new TargetClient(this.loop, new RelayDialect(adapter.dialect()), this.clock);
 		this.recordLog = adapter.openLog(this.eventLoops);
-		this.streamVersions = new StreamVersions(this.routingState.targets(), this.recordLog, this.loop, this.clock,
-				this.log, () -> fleetPosition().routers());
+		this.streamVersions = new StreamVersions(this.routingState.targets(), this::readTargetsNow, this.recordLog,
+				this.loop, this.clock, this.log, () -> fleetPosition().routers());
 		this.context = new ExchangeContext(this.loop, this.routingState, adapter.dialect(), this.targetClient,
 				this.clock, this.log, this.metrics, () -> this.settings.retryLimits(), this.relayClient,
 				this::otherRouters, this::fleetPosition, this::announceNews, this.loopLag, this.quarantine,
@@ -186,8 +186,9 @@
 				ReadPolicy.longPolling(settings.maxRoutesDelayMillis()),
 				new RoutesListener(this.routingState, this.log), this.loop, logEpoch, connections);
 		this.targetsFollower = new TopicFollower(this.recordLog, Topic.TARGETS,
-				ReadPolicy.polling(settings.maxLeavingDelayMillis()), new TargetsListener(this.routingState, this.log),
-				this.loop, logEpoch, connections);
+				ReadPolicy.polling(settings.maxLeavingDelayMillis()),
+				new TargetsListener(this.routingState, this.streamVersions::reload, this.log), this.loop, logEpoch,
+				connections);
 		this.routersFollower = new TopicFollower(this.recordLog, Topic.ROUTERS, ReadPolicy.INFREQUENT,
 				new RoutersListener(this::addPeer, this.addressPublisher, this.log), this.loop, logEpoch, connections);
 		QuarantineRecords quarantineRecords = new QuarantineRecords(this.quarantine, this.recordLog, this.loop,
@@ -209,6 +210,10 @@
 		return this.peerGossip.map(PeerGossip::position).orElse(PeerGossip.ASSUMED_POSITION);
 	}
 
+	private void readTargetsNow(Runnable onApplied) {
+		this.targetsFollower.readNow(onApplied);
+	}
+
 	private Map<VmId, PeerAddress> otherRouters() {
 		return this.peerGossip.map(PeerGossip::callAddresses).orElse(Map.of());
 	}
@@ -325,6 +330,7 @@
 			this.routesFollower.start();
 			this.targetsFollower.start();
 			this.quarantinesFollower.start();
+			this.streamVersions.reload();
 			this.targetClient.closeIdle();
 			this.relayClient.closeIdle();
 		});
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -48,7 +48,7 @@
 	/**
 	 * Short, because another router can serve the call at once.
 	 */
-	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
+	private static final long OTHER_ROUTER_RETRY_AFTER_MILLIS = 50;
 
 	/**
 	 * Calls of other routers that this one serves at the same time beside its own.
@@ -134,7 +134,7 @@
 		return this.shutdown.get()
 			.filter((window) -> !ShutdownRules.accepts(route, head.timeoutMillis(), window, this.context.nowMillis()))
 			.map((window) -> Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
-					SHUTDOWN_RETRY_AFTER_MILLIS));
+					OTHER_ROUTER_RETRY_AFTER_MILLIS));
 	}
 
 	private static Optional<Organisation> findOrganisation(RouteTable table, CallHead head) {
@@ -193,12 +193,19 @@
 		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin, false);
 	}
 
-	private static Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
+	private Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
 		boolean isKnown = origin
 			.filter((version) -> route.pools().stream().anyMatch((pool) -> pool.pool().equals(version.pool())))
 			.isPresent();
-		return isKnown ? Optional.empty() : Optional.of(Rejection
-			.permanent(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "It is not known where the stream began"));
+		if (isKnown) {
+			return Optional.empty();
+		}
+		String reason = "It is not known where the stream began";
+		int status = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+		// A router that can read the log may know.
+		return Optional.of(this.context.routingState().needsPeerRecords()
+				? Rejection.temporary(status, reason, OTHER_ROUTER_RETRY_AFTER_MILLIS)
+				: Rejection.permanent(status, reason));
 	}
 
 	/**
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TargetsListener.java
@@ -14,15 +14,19 @@
 
 	private final RoutingState routingState;
 
+	private final Runnable onLogRegained;
+
 	private final DecisionLog log;
 
 	/**
 	 * Creates a listener.
 	 * @param routingState state to update
+	 * @param onLogRegained called when the log can be read again
 	 * @param log log of decisions
 	 */
-	public TargetsListener(RoutingState routingState, DecisionLog log) {
+	public TargetsListener(RoutingState routingState, Runnable onLogRegained, DecisionLog log) {
 		this.routingState = routingState;
+		this.onLogRegained = onLogRegained;
 		this.log = log;
 	}
 
@@ -50,6 +54,7 @@
 	@Override
 	public void onAvailable() {
 		this.routingState.setLogUnavailable(false);
+		this.onLogRegained.run();
 		this.log.write(LogEvent.DEPENDENCY_REGAINED, "dependency", "log", "topic", Topic.TARGETS);
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/knowledge/TopicFollower.java
@@ -59,6 +59,18 @@
 
 	private boolean unavailable;
 
+	/**
+	 * Called after the next read that has not started yet.
+	 */
+	private final List<Runnable> waitingListeners = new ArrayList<>();
+
+	/**
+	 * Called after the read that is in progress.
+	 */
+	private final List<Runnable> currentListeners = new ArrayList<>();
+
+	private boolean pausing;
+
 	private int backoffMillis = INITIAL_BACKOFF_MILLIS;
 
 	/**
@@ -91,9 +103,34 @@
 	public void start() {
 		invalidate();
 		this.snapshot.clear();
+		startServingListeners();
 		readSnapshotPage(Optional.empty());
 	}
 
+	private void startServingListeners() {
+		this.currentListeners.addAll(this.waitingListeners);
+		this.waitingListeners.clear();
+	}
+
+	/**
+	 * Reads what the log holds now, without waiting for the time of the next read.
+	 * @param onApplied called once the listener of this follower has received all of it;
+	 * not called while the log cannot be read
+	 */
+	public void readNow(Runnable onApplied) {
+		this.waitingListeners.add(onApplied);
+		if (this.pausing) {
+			invalidate();
+			readNext();
+		}
+	}
+
+	private void notifyApplied() {
+		List<Runnable> listeners = List.copyOf(this.currentListeners);
+		this.currentListeners.clear();
+		listeners.forEach(Runnable::run);
+	}
+
 	private void restart() {
 		boolean isStarted = this.generation > 0;
 		if (!isStarted) {
@@ -109,6 +146,7 @@
 	// Ignores the results of reads that are in progress, and tasks that are scheduled.
 	private void invalidate() {
 		this.generation++;
+		this.pausing = false;
 		this.currentRead.ifPresent(HedgedRead::cancel);
 	}
 
@@ -135,6 +173,7 @@
 		this.nextBeforeRestoration = Optional.empty();
 		this.listener.onSnapshot(List.copyOf(this.snapshot), this.snapshotEnd);
 		this.snapshot.clear();
+		notifyApplied();
 		readNext();
 	}
 
@@ -150,6 +189,8 @@
 	}
 
 	private void readNext() {
+		this.pausing = false;
+		startServingListeners();
 		long fromOffset = this.next.orElseThrow().offset();
 		request((waitMillis) -> this.recordLog.read(this.topic, fromOffset, waitMillis),
 				this.readPolicy.maxWaitMillis(), this::handleBatch);
@@ -168,7 +209,9 @@
 		if (!batch.records().isEmpty()) {
 			this.listener.onRecords(batch.records());
 		}
-		runLater(this.readPolicy.delayMillis(), this::readNext);
+		notifyApplied();
+		this.pausing = true;
+		runLater(this.waitingListeners.isEmpty() ? this.readPolicy.delayMillis() : 0, this::readNext);
 	}
 
 	private void markAvailable() {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/resumption/StreamVersions.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/resumption/StreamVersions.java
@@ -38,6 +38,8 @@
 
 	private final TargetDirectory targets;
 
+	private final Consumer<Runnable> targetsReader;
+
 	private final EventLoop loop;
 
 	private final MonotonicClock clock;
@@ -55,15 +57,18 @@
 	/**
 	 * Creates an instance that knows no streams.
 	 * @param targets the known targets
+	 * @param targetsReader reads the targets from the log, and calls back once they are
+	 * up to date
 	 * @param recordLog client of the log
 	 * @param loop event loop of the daemon
 	 * @param clock monotonic clock
 	 * @param log log of decisions
 	 * @param routerCount supplies the number of routers that share the log
 	 */
-	public StreamVersions(TargetDirectory targets, RecordLog recordLog, EventLoop loop, MonotonicClock clock,
-			DecisionLog log, IntSupplier routerCount) {
+	public StreamVersions(TargetDirectory targets, Consumer<Runnable> targetsReader, RecordLog recordLog,
+			EventLoop loop, MonotonicClock clock, DecisionLog log, IntSupplier routerCount) {
 		this.targets = targets;
+		this.targetsReader = targetsReader;
 		this.loop = loop;
 		this.clock = clock;
 		this.publisher = new OriginPublisher(this.versions, recordLog, loop, clock, log, routerCount);
@@ -92,6 +97,13 @@
 		this.versions.observe(this.targets.softwareVersions(), this.clock.nowMillis());
 	}
 
+	/**
+	 * Reads the versions in the log again, because this router may have missed some.
+	 */
+	public void reload() {
+		this.versionRecords.reload();
+	}
+
 	/**
 	 * Stores the versions once more, because the log was restored from an older copy.
 	 */
@@ -118,30 +130,58 @@
 	 */
 	public void find(Resumption resumption, List<PoolId> pools, Consumer<Optional<PoolVersion>> onResult) {
 		long deadlineMillis = this.clock.nowMillis() + this.publisher.delayMillis() + SEARCH_MILLIS;
-		find(new Search(resumption, pools, deadlineMillis, onResult));
+		Search search = new Search(resumption, pools, deadlineMillis, onResult);
+		if (!endIfKnown(search)) {
+			this.targetsReader.accept(() -> handleTargetsRead(search));
+			continueSearch(search);
+		}
 	}
 
-	private void find(Search search) {
+	private void handleTargetsRead(Search search) {
+		observeTargets();
+		search.targetsAreCurrent = true;
+		endIfKnown(search);
+	}
+
+	private boolean endIfKnown(Search search) {
+		if (search.ended) {
+			return true;
+		}
 		Optional<PoolVersion> known = findKnown(search);
-		if (known.isPresent() || this.clock.nowMillis() >= search.deadlineMillis) {
-			search.onResult.accept(known);
-			return;
+		if (known.isEmpty() && this.clock.nowMillis() < search.deadlineMillis) {
+			return false;
 		}
-		this.reader.readNew(() -> findAfterRead(search));
+		search.ended = true;
+		search.onResult.accept(known);
+		return true;
 	}
 
-	private void findAfterRead(Search search) {
-		Optional<PoolVersion> known = findKnown(search);
-		if (known.isPresent()) {
-			search.onResult.accept(known);
+	private void continueSearch(Search search) {
+		if (endIfKnown(search)) {
+			return;
+		}
+		if (findOnlyVersion(search.pools).isPresent()) {
+			// The targets decide, once they were read.
+			searchLater(search);
 			return;
 		}
-		this.loop.schedule(() -> find(search), SEARCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.reader.readNew(() -> {
+			if (!endIfKnown(search)) {
+				searchLater(search);
+			}
+		});
+	}
+
+	private void searchLater(Search search) {
+		this.loop.schedule(() -> continueSearch(search), SEARCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private Optional<PoolVersion> findKnown(Search search) {
-		observeTargets();
-		return search.resumption.requestId().flatMap(this.origins::find).or(() -> findOnlyVersion(search.pools));
+		Optional<PoolVersion> origin = search.resumption.requestId().flatMap(this.origins::find);
+		if (origin.isPresent() || !search.targetsAreCurrent) {
+			return origin;
+		}
+		return findOnlyVersion(search.pools);
 	}
 
 	private Optional<PoolVersion> findOnlyVersion(List<PoolId> pools) {
@@ -149,8 +189,31 @@
 		return isCertain ? this.versions.onlyVersion(pools.get(0)) : Optional.empty();
 	}
 
-	private record Search(Resumption resumption, List<PoolId> pools, long deadlineMillis,
-			Consumer<Optional<PoolVersion>> onResult) {
+	private static final class Search {
+
+		private final Resumption resumption;
+
+		private final List<PoolId> pools;
+
+		private final long deadlineMillis;
+
+		private final Consumer<Optional<PoolVersion>> onResult;
+
+		/**
+		 * Whether the targets were read after the caller has taken the stream up. Another
+		 * version may have joined before, and begun the stream.
+		 */
+		private boolean targetsAreCurrent;
+
+		private boolean ended;
+
+		Search(Resumption resumption, List<PoolId> pools, long deadlineMillis,
+				Consumer<Optional<PoolVersion>> onResult) {
+			this.resumption = resumption;
+			this.pools = pools;
+			this.deadlineMillis = deadlineMillis;
+			this.onResult = onResult;
+		}
 
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/resumption/VersionRecords.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/resumption/VersionRecords.java
@@ -76,6 +76,16 @@
 				() -> this.loop.schedule(this::load, READ_RETRY_MILLIS, TimeUnit.MILLISECONDS));
 	}
 
+	/**
+	 * Reads the stored versions again. Until this has succeeded, they count as not known.
+	 */
+	void reload() {
+		if (this.loaded) {
+			this.loaded = false;
+			load();
+		}
+	}
+
 	/**
 	 * Returns whether the versions that were stored before the start of this process are
 	 * known.
--- a/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
+++ b/mustardlane-gateway/src/test/java/org/mustardlane/gateway/exchange/CallDuringStartTests.java
@@ -74,7 +74,8 @@
 				log, new GatewayMetrics(), () -> new RetryLimits(0.2, 100, 10_000), null, Map::of,
 				() -> new FleetPosition(0, 1), () -> {
 				}, new LoopLag(250, 0), new CallQuarantine(this.nowMillis::get, this.nowMillis::get, log),
-				new StreamVersions(this.routingState.targets(), null, this.loop, this.nowMillis::get, log, () -> 1),
+				new StreamVersions(this.routingState.targets(), Runnable::run, null, this.loop, this.nowMillis::get,
+						log, () -> 1),
 				new DomainId("north"), () -> 0.5);
 		this.router = new CallRouter(context, Optional::empty);
 	}
