Calls that are passed on are bounded by what routers reach (RECOVER)

By reading: a router without a path tried it for one call of others each 500 ms, for up to four connect timeouts; a call could wait for eight routers that are out of reach themselves; the pool that another router names was not checked against the route; a started stream could still be refused for a quarantine. The pool's state now ends after three seconds without a failure, a relayed call goes back after two targets, and a call asks no third router after two that it cannot connect to.

--- a/mustardlane-core/src/main/java/org/mustardlane/core/placement/PoolReachability.java
+++ b/mustardlane-core/src/main/java/org/mustardlane/core/placement/PoolReachability.java
@@ -25,13 +25,18 @@
 	 */
 	private static final int TRIAL_INTERVAL_MILLIS = 500;
 
+	/**
+	 * A router that has few calls tries its own path again after this time.
+	 */
+	private static final int VALIDITY_MILLIS = 3000;
+
 	private final Set<TargetId> failedTargets = new HashSet<>();
 
 	private long lastReceivedMillis = Long.MIN_VALUE;
 
 	private boolean silent;
 
-	private boolean unreachable;
+	private long unreachableUntilMillis = Long.MIN_VALUE;
 
 	private long nextTrialMillis;
 
@@ -44,7 +49,7 @@
 	public void recordConnectFailure(TargetId target, int readyTargets, long nowMillis) {
 		this.failedTargets.add(target);
 		if (this.failedTargets.size() >= Math.min(MIN_FAILED_TARGETS, readyTargets)) {
-			this.unreachable = true;
+			this.unreachableUntilMillis = nowMillis + VALIDITY_MILLIS;
 			this.nextTrialMillis = nowMillis + TRIAL_INTERVAL_MILLIS;
 		}
 	}
@@ -67,7 +72,7 @@
 	public void recordReceived(long nowMillis) {
 		this.lastReceivedMillis = nowMillis;
 		this.silent = false;
-		this.unreachable = false;
+		this.unreachableUntilMillis = Long.MIN_VALUE;
 		this.failedTargets.clear();
 	}
 
@@ -82,10 +87,12 @@
 
 	/**
 	 * Returns whether this router reaches no target of the pool.
-	 * @return true until a target sends something
+	 * @param nowMillis the current time
+	 * @return true until a target sends something, or no connection has been tried for a
+	 * while
 	 */
-	public boolean isUnreachable() {
-		return this.unreachable;
+	public boolean isUnreachable(long nowMillis) {
+		return nowMillis < this.unreachableUntilMillis;
 	}
 
 	/**
--- a/mustardlane-core/src/test/java/org/mustardlane/core/placement/PoolReachabilityTests.java
+++ b/mustardlane-core/src/test/java/org/mustardlane/core/placement/PoolReachabilityTests.java
@@ -28,7 +28,7 @@
 	@Test
 	public void poolIsReachedAtFirst() {
 		PoolReachability pool = new PoolReachability();
-		assertFalse(pool.isUnreachable());
+		assertFalse(pool.isUnreachable(1100));
 		assertFalse(pool.isDoubtful());
 	}
 
@@ -37,7 +37,7 @@
 		PoolReachability pool = new PoolReachability();
 		pool.recordConnectFailure(FIRST, READY_TARGETS, 1000);
 		pool.recordConnectFailure(FIRST, READY_TARGETS, 1100);
-		assertFalse(pool.isUnreachable());
+		assertFalse(pool.isUnreachable(1100));
 		assertTrue(pool.isDoubtful());
 	}
 
@@ -45,15 +45,15 @@
 	public void onlyTargetOfAPoolMakesItUnreachable() {
 		PoolReachability pool = new PoolReachability();
 		pool.recordConnectFailure(FIRST, 1, 1000);
-		assertTrue(pool.isUnreachable());
+		assertTrue(pool.isUnreachable(1100));
 	}
 
 	@Test
 	public void bytesOfAnyTargetShowThatThePoolIsReached() {
 		PoolReachability pool = unreachable();
-		assertTrue(pool.isUnreachable());
+		assertTrue(pool.isUnreachable(1100));
 		pool.recordReceived(1001);
-		assertFalse(pool.isUnreachable());
+		assertFalse(pool.isUnreachable(1100));
 		assertFalse(pool.isDoubtful());
 	}
 
@@ -63,7 +63,7 @@
 		pool.recordConnectFailure(FIRST, READY_TARGETS, 1000);
 		pool.recordReceived(1001);
 		pool.recordConnectFailure(SECOND, READY_TARGETS, 1002);
-		assertFalse(pool.isUnreachable());
+		assertFalse(pool.isUnreachable(1100));
 	}
 
 	@Test
@@ -80,7 +80,14 @@
 		pool.recordReceived(900);
 		pool.recordSilence(1000);
 		assertTrue(pool.isDoubtful());
-		assertFalse(pool.isUnreachable());
+		assertFalse(pool.isUnreachable(1100));
+	}
+
+	@Test
+	public void poolIsTriedAgainAfterAWhileWithoutAnyTrial() {
+		PoolReachability pool = unreachable();
+		assertTrue(pool.isUnreachable(3999));
+		assertFalse(pool.isUnreachable(4000));
 	}
 
 	@Test
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -64,6 +64,13 @@
 					this.responseStarted, sentAtMillis, this.context.nowMillis()));
 	}
 
+	/**
+	 * Records that another router has forwarded the first event. It watches the target.
+	 */
+	void recordRelayedStart() {
+		this.responseStarted = true;
+	}
+
 	/**
 	 * Records that a target has sent a further part of the response.
 	 * @param target the target
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRelay.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRelay.java
@@ -28,7 +28,8 @@
 
 	/**
 	 * Number of targets that could not be connected to, after which the call goes to
-	 * another router although the pool is not yet known as unreachable.
+	 * another router although the pool is not yet known as unreachable. As many routers
+	 * may be out of reach as well.
 	 */
 	private static final int MAX_CONNECT_FAILURES = 2;
 
@@ -49,6 +50,8 @@
 
 	private int connectFailures;
 
+	private int unreachedRouters;
+
 	CallRelay(ExchangeContext context, RoutedCall routedCall, Exchange exchange) {
 		this.context = context;
 		this.routedCall = routedCall;
@@ -72,7 +75,11 @@
 			return false;
 		}
 		return this.connectFailures >= MAX_CONNECT_FAILURES
-				|| (reachability().isUnreachable() && !reachability().tryStartTrial(this.context.nowMillis()));
+				|| (isPoolUnreachable() && !reachability().tryStartTrial(this.context.nowMillis()));
+	}
+
+	private boolean isPoolUnreachable() {
+		return reachability().isUnreachable(this.context.nowMillis());
 	}
 
 	private PoolReachability reachability() {
@@ -84,7 +91,7 @@
 	 * @return an attempt to send the call to that router, empty if none is left
 	 */
 	Optional<RelayAttempt> nextAttempt() {
-		if (this.declinedRouters.size() >= MAX_ROUTERS) {
+		if (this.declinedRouters.size() >= MAX_ROUTERS || this.unreachedRouters >= MAX_CONNECT_FAILURES) {
 			return Optional.empty();
 		}
 		Map<VmId, PeerAddress> routers = this.context.routers();
@@ -111,20 +118,30 @@
 				this.context.domain(), 0, "", TargetState.READY, 0, 0);
 	}
 
+	/**
+	 * Returns whether the router that has passed the call on is to ask another one.
+	 * @return true if this router has failed to connect to the targets too
+	 */
+	boolean isReturned() {
+		return this.routedCall.relayed() && this.connectFailures >= MAX_CONNECT_FAILURES && isPoolUnreachable();
+	}
+
 	/**
 	 * Returns whether neither this router nor any other known one reaches the pool.
 	 * @return false also if no other router is known
 	 */
 	boolean isHopeless() {
-		return reachability().isUnreachable() && !this.context.routers().isEmpty();
+		return isPoolUnreachable() && !this.context.routers().isEmpty();
 	}
 
 	/**
 	 * Records that a router has not taken the call over.
 	 * @param router the router
+	 * @param isReached whether the router could be connected to
 	 * @param detail why it has not
 	 */
-	void recordDeclined(TargetEntry router, String detail) {
+	void recordDeclined(TargetEntry router, boolean isReached, String detail) {
+		this.unreachedRouters += isReached ? 0 : 1;
 		VmId vm = new VmId(router.id().value());
 		this.declinedRouters.add(vm);
 		this.context.relayPeers().recordDeclined(vm, this.routedCall.pool(), this.context.nowMillis());
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 import org.mustardlane.core.model.common.PoolId;
-import org.mustardlane.core.placement.PoolReachability;
 import org.mustardlane.core.quarantine.CallFeature;
 import org.mustardlane.core.quarantine.Quarantine;
 import org.mustardlane.core.route.EngineSpec;
@@ -242,15 +241,16 @@
 			.routes()
 			.flatMap((table) -> table.find(head.host(), head.path()))
 			.orElseThrow();
-		List<PoolId> pools = request.origin()
-			.map((origin) -> List.of(origin.pool()))
-			.orElseGet(() -> route.pools().stream().map(WeightedPool::pool).toList());
-		boolean isReached = pools.stream().map(this.context::reachability).anyMatch(this::mayReach);
-		return isReached ? Optional.empty() : Optional.of(declined("The router does not reach the targets"));
+		if (request.origin().isPresent()) {
+			return checkOrigin(request.origin(), route).or(() -> checkReach(List.of(request.origin().get().pool())));
+		}
+		return checkReach(route.pools().stream().map(WeightedPool::pool).toList());
 	}
 
-	private boolean mayReach(PoolReachability reachability) {
-		return !reachability.isUnreachable() || reachability.tryStartTrial(this.context.nowMillis());
+	private Optional<Rejection> checkReach(List<PoolId> pools) {
+		boolean isReached = pools.stream()
+			.anyMatch((pool) -> !this.context.reachability(pool).isUnreachable(this.context.nowMillis()));
+		return isReached ? Optional.empty() : Optional.of(declined("The router does not reach the targets"));
 	}
 
 	private Rejection declined(String reason) {
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -131,6 +131,10 @@
 		if (this.relay.isNeeded() && passOn()) {
 			return;
 		}
+		if (this.relay.isReturned()) {
+			giveUp("The router does not reach the targets either");
+			return;
+		}
 		Optional<TargetEntry> target = this.callTargets.choose();
 		if (target.isEmpty()) {
 			this.ending.giveUp("No target takes the call",
@@ -168,10 +172,11 @@
 	/**
 	 * Asks the next router, because one has not taken the call over.
 	 * @param router the router
+	 * @param isReached whether the router could be connected to
 	 * @param detail why it has not
 	 */
-	void handleDeclined(TargetEntry router, String detail) {
-		this.relay.recordDeclined(router, detail);
+	void handleDeclined(TargetEntry router, boolean isReached, String detail) {
+		this.relay.recordDeclined(router, isReached, detail);
 		this.currentAttempt = Optional.empty();
 		dispatch();
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RelayAttempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RelayAttempt.java
@@ -105,13 +105,13 @@
 			failAttempt(AttemptFailure.BROKEN, detail);
 		}
 		else {
-			decline(detail);
+			decline(true, detail);
 		}
 	}
 
-	private void decline(String detail) {
+	private void decline(boolean isReached, String detail) {
 		this.ended = true;
-		this.exchange.handleDeclined(this.router, detail);
+		this.exchange.handleDeclined(this.router, isReached, detail);
 	}
 
 	private void forwardServerError(ResponseHead head) {
@@ -133,6 +133,7 @@
 			return;
 		}
 		if (isBeginning && sink.lastEventId().isPresent()) {
+			this.exchange.evidence().recordRelayedStart();
 			this.response.version().ifPresent(this.exchange.records()::recordFirstEvent);
 		}
 	}
@@ -153,7 +154,7 @@
 			return;
 		}
 		if (failure == CallFailure.NOT_SENT) {
-			decline(detail);
+			decline(false, detail);
 			return;
 		}
 		failAttempt(AttemptFailure.BROKEN, "router " + this.router.id() + ": " + detail);
