--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -41,6 +41,12 @@
 	 */
 	private static final int DOUBTFUL_SILENCE_MILLIS = 500;
 
+	/**
+	 * A target that has fallen silent for this time may have crashed; sound ones may be
+	 * silent for a second.
+	 */
+	private static final int CRASH_CHECK_INTERVAL_MILLIS = 1000;
+
 	/**
 	 * Callers abandon a stream after two seconds without an event.
 	 */
@@ -64,6 +70,8 @@
 
 	private long lastReceivedMillis;
 
+	private long crashCheckedAtMillis = Long.MIN_VALUE;
+
 	private boolean responseStarted;
 
 	private int status;
@@ -143,6 +151,7 @@
 			if (this.call.filter(TargetCall::isUnansweredOnReusedConnection).isPresent()) {
 				this.context.client().recordDroppedConnection(this.target);
 			}
+			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
 			boolean executionCounted = this.responseStarted;
 			cancel();
 			this.exchange.retry(executionCounted, "silent for " + silenceLimitMillis() + " ms");
@@ -291,8 +300,14 @@
 
 	@Override
 	public void reportSilence() {
-		if (isSent() && this.context.nowMillis() - this.lastReceivedMillis >= DOUBTFUL_SILENCE_MILLIS) {
-			this.reachability.recordSilence(this.lastReceivedMillis);
+		long nowMillis = this.context.nowMillis();
+		if (!isSent() || nowMillis - this.lastReceivedMillis < DOUBTFUL_SILENCE_MILLIS) {
+			return;
+		}
+		this.reachability.recordSilence(this.lastReceivedMillis);
+		if (nowMillis - Math.max(this.lastReceivedMillis, this.crashCheckedAtMillis) >= CRASH_CHECK_INTERVAL_MILLIS) {
+			this.crashCheckedAtMillis = nowMillis;
+			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
 		}
 	}
 
