--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -59,11 +59,18 @@
 	 */
 	void recordLostConnection(TargetEntry target, long sentAtMillis) {
 		List<CallFeature> promptParts = this.responseStarted ? List.of() : this.features.promptParts();
-		this.context.quarantine()
-			.recordLoss(new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
+		this.context.crashCheck()
+			.check(target, new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
 					this.responseStarted, sentAtMillis, this.context.nowMillis()));
 	}
 
+	/**
+	 * Records that another router has forwarded the first event. It watches the target.
+	 */
+	void recordRelayedStart() {
+		this.responseStarted = true;
+	}
+
 	/**
 	 * Records that a target has sent a further part of the response.
 	 * @param target the target
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallRouter.java
@@ -25,10 +25,13 @@
 import org.mustardlane.gateway.front.Call;
 import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.CallerChannel;
+import org.mustardlane.gateway.front.EndedCall;
 import org.mustardlane.gateway.front.OpenCall;
 import org.mustardlane.gateway.front.Rejection;
+import org.mustardlane.gateway.knowledge.RoutingState;
 import org.mustardlane.gateway.quarantine.QuarantineListener;
 import org.mustardlane.gateway.quarantine.QuarantineMatch;
+import org.mustardlane.gateway.relay.RelayRequest;
 import org.mustardlane.gateway.report.LogEvent;
 import org.mustardlane.gateway.wire.CallHead;
 import org.mustardlane.gateway.wire.Resumption;
@@ -44,7 +47,12 @@
 	/**
 	 * Short, because another router can serve the call at once.
 	 */
-	private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 50;
+	private static final long OTHER_ROUTER_RETRY_AFTER_MILLIS = 50;
+
+	/**
+	 * Calls of other routers that this one serves at the same time beside its own.
+	 */
+	private static final int MAX_RELAYED_CALLS = 256;
 
 	private static final String PART_QUARANTINE_REASON = "The prompt has a part that crashes engines";
 
@@ -125,7 +133,7 @@
 		return this.shutdown.get()
 			.filter((window) -> !ShutdownRules.accepts(route, head.timeoutMillis(), window, this.context.nowMillis()))
 			.map((window) -> Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "The router stops",
-					SHUTDOWN_RETRY_AFTER_MILLIS));
+					OTHER_ROUTER_RETRY_AFTER_MILLIS));
 	}
 
 	private static Optional<Organisation> findOrganisation(RouteTable table, CallHead head) {
@@ -161,7 +169,7 @@
 		if (resumption.isPresent() && route.semantics() == RequestSemantics.RESUMABLE_STREAM) {
 			return resume(call, features, caller, resumption.get(), route);
 		}
-		return startExchange(call, features, caller, table, route, Optional.empty());
+		return startExchange(call, features, caller, table, route, Optional.empty(), false);
 	}
 
 	private OpenCall resume(Call call, CallFeatures features, CallerChannel caller, Resumption resumption,
@@ -181,15 +189,84 @@
 		if (rejection.isPresent()) {
 			return reject(call, caller, rejection.get());
 		}
-		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin);
+		return startExchange(call, features, caller, table.orElseThrow(), route.orElseThrow(), origin, false);
 	}
 
-	private static Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
+	private Optional<Rejection> checkOrigin(Optional<PoolVersion> origin, Route route) {
 		boolean isKnown = origin
 			.filter((version) -> route.pools().stream().anyMatch((pool) -> pool.pool().equals(version.pool())))
 			.isPresent();
-		return isKnown ? Optional.empty() : Optional.of(Rejection
-			.permanent(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), "It is not known where the stream began"));
+		if (isKnown) {
+			return Optional.empty();
+		}
+		String reason = "It is not known where the stream began";
+		int status = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+		// A router that can read the log may know.
+		return Optional.of(this.context.routingState().needsPeerRecords()
+				? Rejection.temporary(status, reason, OTHER_ROUTER_RETRY_AFTER_MILLIS)
+				: Rejection.permanent(status, reason));
+	}
+
+	/**
+	 * Opens a call that another router has passed on.
+	 * @param call the call
+	 * @param request what the other router says about it
+	 * @param router channel for the response
+	 * @return the call in progress
+	 */
+	public OpenCall openRelayed(Call call, RelayRequest request, CallerChannel router) {
+		Optional<Rejection> rejection = findRelayRejection(call, request);
+		if (rejection.isPresent()) {
+			return reject(call, router, rejection.get());
+		}
+		RouteTable table = this.context.routingState().routes().orElseThrow();
+		Route route = table.find(call.head().host(), call.head().path()).orElseThrow();
+		return startExchange(call, CallFeatures.of(call), router, table, route, request.origin(), true);
+	}
+
+	private Optional<Rejection> findRelayRejection(Call call, RelayRequest request) {
+		RoutingState state = this.context.routingState();
+		boolean isBusy = this.context.isLoopLagging() || openRelayedCalls() >= MAX_RELAYED_CALLS;
+		if (!state.isComplete() || state.routesVersion() < request.routesVersion() || this.shutdown.get().isPresent()
+				|| isBusy) {
+			return Optional.of(declined("The router takes no calls over"));
+		}
+		return findRouteRejection(state.routes().orElseThrow(), call.head())
+			.or(() -> findQuarantineRejection(CallFeatures.of(call).all()))
+			.or(() -> findReachRejection(call.head(), request));
+	}
+
+	private Optional<Rejection> findReachRejection(CallHead head, RelayRequest request) {
+		Route route = this.context.routingState()
+			.routes()
+			.flatMap((table) -> table.find(head.host(), head.path()))
+			.orElseThrow();
+		if (request.origin().isPresent()) {
+			return checkOrigin(request.origin(), route).or(() -> checkReach(List.of(request.origin().get().pool())));
+		}
+		return checkReach(route.pools().stream().map(WeightedPool::pool).toList());
+	}
+
+	private Optional<Rejection> checkReach(List<PoolId> pools) {
+		boolean isReached = pools.stream()
+			.anyMatch((pool) -> !this.context.reachability(pool).isUnreachable(this.context.nowMillis()));
+		return isReached ? Optional.empty() : Optional.of(declined("The router does not reach the targets"));
+	}
+
+	private Rejection declined(String reason) {
+		return Rejection.temporary(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), reason,
+				RetryAfter.refusalDelayMillis(this.context.nextRandom()));
+	}
+
+	private long openRelayedCalls() {
+		return this.openExchanges.stream().filter((exchange) -> exchange.routedCall().relayed()).count();
+	}
+
+	/**
+	 * Looks for calls whose targets have been silent for long.
+	 */
+	public void checkSilence() {
+		this.openExchanges.forEach(Exchange::reportSilence);
 	}
 
 	private OpenCall reject(Call call, CallerChannel caller, Rejection rejection) {
@@ -201,11 +278,11 @@
 	}
 
 	private OpenCall startExchange(Call call, CallFeatures features, CallerChannel caller, RouteTable table,
-			Route route, Optional<PoolVersion> origin) {
+			Route route, Optional<PoolVersion> origin, boolean relayed) {
 		PoolId pool = origin.map(PoolVersion::pool).orElseGet(() -> route.pickPool(this.context.nextRandom()));
 		Optional<EngineSpec> engine = table.pool(pool).flatMap(PoolSpec::engine);
 		RoutedCall routedCall = new RoutedCall(call, route, pool, findOrganisation(table, call.head()), engine,
-				origin.map(PoolVersion::softwareVersion), features, table.version());
+				origin.map(PoolVersion::softwareVersion), features, table.version(), relayed);
 		Exchange exchange = new Exchange(this.context, routedCall, caller, this.openExchanges::remove);
 		this.openExchanges.add(exchange);
 		exchange.start();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/target/TargetClient.java
@@ -6,12 +6,16 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -72,16 +76,17 @@
 	 * @param target the target
 	 * @param requestId id of the call, which the response must repeat
 	 * @param semantics whether the call may be executed more than once
+	 * @param newConnection whether the call needs a new connection
 	 * @param method method of the request
 	 * @param requestSource creates the head of the request when it is sent
 	 * @param body body of the request, empty for none
 	 * @param listener receives the events of the call
 	 * @return the call, which can be cancelled
 	 */
-	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, HttpMethod method,
-			RequestSource requestSource, byte[] body, CallListener listener) {
+	public TargetCall send(TargetEntry target, String requestId, RequestSemantics semantics, boolean newConnection,
+			HttpMethod method, RequestSource requestSource, byte[] body, CallListener listener) {
 		TargetCall call = new TargetCall(requestId, method, requestSource, body, listener, this.dialect, this.clock);
-		Optional<PooledConnection> idleConnection = HttpMethod.HEAD.equals(method) ? Optional.empty()
+		Optional<PooledConnection> idleConnection = (newConnection || HttpMethod.HEAD.equals(method)) ? Optional.empty()
 				: takeIdle(target, semantics);
 		if (idleConnection.isPresent()) {
 			call.assign(idleConnection.get());
@@ -133,6 +138,23 @@
 		connection.attach(bootstrap.connect(target.host(), target.port()));
 	}
 
+	/**
+	 * Finds out whether a target accepts a connection, which is closed at once.
+	 * @param target the target
+	 * @param listener is told whether the connection was established
+	 */
+	public void checkConnection(TargetEntry target, Consumer<Boolean> listener) {
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(target.host(), target.port())
+			.addListener((ChannelFuture future) -> {
+				future.channel().close();
+				listener.accept(future.isSuccess());
+			});
+	}
+
 	private void keepIdle(PooledConnection connection) {
 		Deque<PooledConnection> connections = this.idleConnections.computeIfAbsent(connection.address(),
 				(address) -> new ArrayDeque<>());
