--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -41,6 +41,11 @@
 	 */
 	private static final int DOUBTFUL_SILENCE_MILLIS = 500;
 
+	/**
+	 * Longer than most plain requests take.
+	 */
+	private static final int ABANDONED_SILENCE_MILLIS = 250;
+
 	/**
 	 * A target that has fallen silent for this time may have crashed; sound ones may be
 	 * silent for a second.
@@ -298,6 +303,13 @@
 		return this.call.filter(TargetCall::isSent).isPresent();
 	}
 
+	@Override
+	public void reportAbandoned() {
+		if (isSent() && this.context.nowMillis() - this.lastReceivedMillis >= ABANDONED_SILENCE_MILLIS) {
+			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
+		}
+	}
+
 	@Override
 	public void reportSilence() {
 		long nowMillis = this.context.nowMillis();
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Exchange.java
@@ -365,6 +365,7 @@
 			return;
 		}
 		boolean attemptSent = this.currentAttempt.filter(OpenAttempt::isSent).isPresent();
+		this.currentAttempt.ifPresent(OpenAttempt::reportAbandoned);
 		this.currentAttempt.ifPresent(OpenAttempt::cancel);
 		this.currentAttempt = Optional.empty();
 		this.ending.expire(attemptSent);
@@ -375,6 +376,7 @@
 		if (this.ended) {
 			return;
 		}
+		this.currentAttempt.ifPresent(OpenAttempt::reportAbandoned);
 		this.currentAttempt.ifPresent(OpenAttempt::cancel);
 		endCall(CallOutcome.CALLER_GONE, 0, "");
 	}
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/OpenAttempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/OpenAttempt.java
@@ -22,6 +22,12 @@
 	 */
 	void setAutoRead(boolean autoRead);
 
+	/**
+	 * Called if the call ends before its response, because its time is up or its caller
+	 * has left. The target may have fallen silent.
+	 */
+	void reportAbandoned();
+
 	/**
 	 * Tells the reachability of the pool if nothing has arrived for long.
 	 */
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RelayAttempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/RelayAttempt.java
@@ -183,6 +183,11 @@
 		this.call.ifPresent((targetCall) -> targetCall.setAutoRead(autoRead));
 	}
 
+	@Override
+	public void reportAbandoned() {
+		// The router notices the end of the call.
+	}
+
 	@Override
 	public void reportSilence() {
 		// The router watches its target itself.
