--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +23,7 @@
 import org.mustardlane.gateway.exchange.CallRouter;
 import org.mustardlane.gateway.exchange.ExchangeContext;
 import org.mustardlane.gateway.exchange.LoopLag;
+import org.mustardlane.gateway.front.CallHandler;
 import org.mustardlane.gateway.front.FrontServer;
 import org.mustardlane.gateway.front.FrontSettings;
 import org.mustardlane.gateway.knowledge.AddressPublisher;
@@ -45,6 +45,7 @@
 import org.mustardlane.gateway.quarantine.QuarantineRecords;
 import org.mustardlane.gateway.relay.RelayDialect;
 import org.mustardlane.gateway.relay.RelayHandler;
+import org.mustardlane.gateway.relay.RelayServer;
 import org.mustardlane.gateway.report.DecisionLog;
 import org.mustardlane.gateway.report.GatewayMetrics;
 import org.mustardlane.gateway.report.GuardedTask;
@@ -70,17 +71,6 @@
 
 	private static final int MAX_LINES_PER_SECOND = 50;
 
-	/**
-	 * Bodies may occupy a fifth of the heap. Each body is copied once while it is
-	 * forwarded; the rest of the heap is for all other data.
-	 */
-	private static final int BODY_MEMORY_DIVISOR = 5;
-
-	/**
-	 * What routers add to the headers of a call that they pass on.
-	 */
-	private static final int RELAY_HEADER_BYTES = 2048;
-
 	private static final int MAINTENANCE_INTERVAL_MILLIS = 250;
 
 	/**
@@ -117,7 +107,7 @@
 
 	private final TargetClient relayClient;
 
-	private final FrontServer relayServer;
+	private final RelayServer relayServer;
 
 	private final StreamVersions streamVersions;
 
@@ -170,14 +160,9 @@
 				this.streamVersions, settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
 		this.callRouter = new CallRouter(this.context, this.shutdown::window);
 		this.quarantine.addListener(this.callRouter);
-		this.frontServer = new FrontServer(this.loop, adapter.dialect(), this.callRouter, this::requestLimits,
-				new FrontSettings(DEFAULT_LIMITS.headerBytes(), Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
-				this.shutdown::isStarted, this.clock, this.log);
-		this.relayServer = new FrontServer(this.loop, adapter.dialect(), new RelayHandler(this.callRouter::openRelayed),
-				this::requestLimits,
-				new FrontSettings(DEFAULT_LIMITS.headerBytes() + RELAY_HEADER_BYTES,
-						Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR),
-				this.shutdown::isStarted, this.clock, this.log);
+		this.frontServer = createServer(adapter, this.callRouter, DEFAULT_LIMITS.headerBytes());
+		this.relayServer = new RelayServer(createServer(adapter, new RelayHandler(this.callRouter::openRelayed),
+				DEFAULT_LIMITS.headerBytes() + RelayServer.ADDED_HEADER_BYTES), this.log);
 		LogEpoch logEpoch = new LogEpoch();
 		logEpoch.addRestorationListener(this.streamVersions::onLogRestored);
 		LogConnections connections = new LogConnections(this.log);
@@ -199,6 +184,11 @@
 		this.pauseDetector = new PauseDetector(this.clock, System::currentTimeMillis);
 	}
 
+	private FrontServer createServer(GatewayAdapter adapter, CallHandler handler, int maxHeaderBytes) {
+		return new FrontServer(this.loop, adapter.dialect(), handler, this::requestLimits,
+				FrontSettings.withHeaders(maxHeaderBytes), this.shutdown::isStarted, this.clock, this.log);
+	}
+
 	private void addPeer(String vm, String address) {
 		if (!vm.isEmpty()) {
 			RouterEndpoint.parse(address)
@@ -301,8 +291,7 @@
 		this.peerGossip = Optional.of(gossip);
 		PeerAddress ownAddress = new PeerAddress(address.getHostString(), server.port());
 		this.peerPort = server.port();
-		this.relayServer.start(this.settings.relayAddress());
-		RouterEndpoint endpoint = new RouterEndpoint(ownAddress, OptionalInt.of(this.relayServer.port()));
+		RouterEndpoint endpoint = new RouterEndpoint(ownAddress, this.relayServer.start(this.settings.relayAddress()));
 		this.loop.execute(() -> gossip.start(endpoint));
 		// Only now, as the addresses that are read go to the gossip.
 		this.loop.execute(this.routersFollower::start);
