--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/Attempt.java
@@ -156,7 +156,7 @@
 			if (this.call.filter(TargetCall::isUnansweredOnReusedConnection).isPresent()) {
 				this.context.client().recordDroppedConnection(this.target);
 			}
-			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
+			this.exchange.evidence().recordSilence(this.target, this.sentAtMillis);
 			boolean executionCounted = this.responseStarted;
 			cancel();
 			this.exchange.retry(executionCounted, "silent for " + silenceLimitMillis() + " ms");
@@ -306,7 +306,7 @@
 	@Override
 	public void reportAbandoned() {
 		if (isSent() && this.context.nowMillis() - this.lastReceivedMillis >= ABANDONED_SILENCE_MILLIS) {
-			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
+			this.exchange.evidence().recordSilence(this.target, this.sentAtMillis);
 		}
 	}
 
@@ -319,7 +319,7 @@
 		this.reachability.recordSilence(this.lastReceivedMillis);
 		if (nowMillis - Math.max(this.lastReceivedMillis, this.crashCheckedAtMillis) >= CRASH_CHECK_INTERVAL_MILLIS) {
 			this.crashCheckedAtMillis = nowMillis;
-			this.exchange.evidence().recordLostConnection(this.target, this.sentAtMillis);
+			this.exchange.evidence().recordSilence(this.target, this.sentAtMillis);
 		}
 	}
 
--- a/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
+++ b/mustardlane-gateway/src/main/java/org/mustardlane/gateway/exchange/CallEvidence.java
@@ -59,6 +59,22 @@
 	 */
 	void recordLostConnection(TargetEntry target, long sentAtMillis) {
 		List<CallFeature> promptParts = this.responseStarted ? List.of() : this.features.promptParts();
+		check(target, promptParts, sentAtMillis);
+	}
+
+	/**
+	 * Records that a target has fallen silent, so that the call may have crashed it. When
+	 * many targets fall silent together, their calls are given up at different moments,
+	 * and would look like separate crashes by what their prompts share. The content of a
+	 * call has no such company.
+	 * @param target the target
+	 * @param sentAtMillis time at which the call was sent to the target
+	 */
+	void recordSilence(TargetEntry target, long sentAtMillis) {
+		check(target, List.of(), sentAtMillis);
+	}
+
+	private void check(TargetEntry target, List<CallFeature> promptParts, long sentAtMillis) {
 		this.context.crashCheck()
 			.check(target, new LostCall(target.id(), this.requestId, promptParts, this.features.contents(),
 					this.responseStarted, sentAtMillis, this.context.nowMillis()));
