--- a/review/harness-2/Replica.java
+++ b/review/harness-2/Replica.java
@@ -66,12 +66,30 @@
 	 */
 	void start(String version) throws IOException {
 		Life started = new Life(version);
-		started.writeEntry("ready");
+		started.writeEntry();
 		started.listen();
 		this.life = started;
 		this.record.write("replica " + this.id + " starts with version " + version);
 	}
 
+	/**
+	 * Reports a state to the store now and with each heartbeat from now on.
+	 * @param state ready or draining
+	 */
+	void report(String state) {
+		this.life.report(state);
+		this.record.write("replica " + this.id + " reports " + state);
+	}
+
+	/**
+	 * Lets the store carry out the next heartbeat late, as one whose answer is lost.
+	 * @param millis how late
+	 * @throws InterruptedException if interrupted before that heartbeat
+	 */
+	void delayNextHeartbeat(long millis) throws InterruptedException {
+		this.life.delayNextHeartbeat(millis);
+	}
+
 	/**
 	 * Ends the replica at once. It says nothing more to the store, and its connections end.
 	 */
@@ -119,22 +137,59 @@
 
 		private int sequence;
 
+		private String state = "ready";
+
+		private long delayMillis;
+
 		private volatile boolean ended;
 
 		Life(String version) {
 			this.version = version;
 		}
 
-		synchronized void writeEntry(String state) {
+		synchronized void report(String nextState) {
+			this.state = nextState;
+			writeEntry();
+		}
+
+		synchronized void delayNextHeartbeat(long millis) throws InterruptedException {
+			this.delayMillis = millis;
+			while (this.delayMillis > 0) {
+				wait();
+			}
+		}
+
+		synchronized void writeEntry() {
 			if (this.ended) {
 				return;
 			}
 			this.sequence++;
-			Replica.this.store.put("keyed.servers", Replica.this.id,
-					"""
+			String entry = """
 							{"service":"%s","address":"127.0.0.1:%d","zone":"kiln-north","version":"%s","slots":64,\
 							"state":"%s","cold_left_ms":0,"seq":%d,"born":%d}""".formatted(Replica.this.service,
-							Replica.this.port, this.version, state, this.sequence, this.bornMillis));
+							Replica.this.port, this.version, this.state, this.sequence, this.bornMillis);
+			if (this.delayMillis == 0) {
+				Replica.this.store.put("keyed.servers", Replica.this.id, entry);
+				return;
+			}
+			long lateMillis = this.delayMillis;
+			int lateSequence = this.sequence;
+			this.delayMillis = 0;
+			notifyAll();
+			Replica.this.record.write("the store loses the answer to heartbeat " + lateSequence + " of " + Replica.this.id);
+			startThread(() -> putLate(entry, lateSequence, lateMillis));
+		}
+
+		private void putLate(String entry, int lateSequence, long lateMillis) {
+			try {
+				Thread.sleep(lateMillis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			Replica.this.store.put("keyed.servers", Replica.this.id, entry);
+			Replica.this.record.write("the store carries out heartbeat " + lateSequence + " of " + Replica.this.id
+					+ ", " + lateMillis + " ms late");
 		}
 
 		void listen() throws IOException {
@@ -149,7 +204,7 @@
 			try {
 				while (!this.ended) {
 					Thread.sleep(HEARTBEAT_MILLIS);
-					writeEntry("ready");
+					writeEntry();
 				}
 			}
 			catch (InterruptedException ex) {
