--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/deploy/mustardlane-platform.jar ] && [ -f target/review-2/KilledRouter.class ] || exit 2
 timeout -k 5 110 java -Xmx256m -cp target/review-2 KilledRouter "$PWD" "$PWD/review/7"
-code=$?
-[ "$code" -le 1 ] && exit "$code"
-exit 2
+case $? in
+	0) exit 0 ;;
+	10) exit 1 ;;
+	*) exit 2 ;;
+esac
--- a/review/harness-2/Deployment.java
+++ b/review/harness-2/Deployment.java
@@ -9,6 +9,15 @@
  */
 final class Deployment implements AutoCloseable {
 
+	static final int RULE_HELD = 0;
+
+	static final int NOT_RUN = 2;
+
+	/**
+	 * Differs from the code with which Java itself ends after an error.
+	 */
+	static final int RULE_BROKEN = 10;
+
 	private final Path repository;
 
 	private final Path folder;
@@ -31,6 +40,7 @@
 		this.repository = repository;
 		this.folder = Files.createTempDirectory("review-2");
 		this.record = new Record(caseFolder.resolve("record.txt"));
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> this.routers.forEach(RouterProcess::close)));
 	}
 
 	Record record() {
--- a/review/harness-2/LateHeartbeat.java
+++ b/review/harness-2/LateHeartbeat.java
@@ -72,7 +72,7 @@
 	 */
 	public static void main(String[] arguments) {
 		boolean isDisturbed = !"0".equals(System.getenv("TROUBLE"));
-		int result = 2;
+		int result = Deployment.NOT_RUN;
 		try (Deployment deployment = new Deployment(Path.of(arguments[0]), Path.of(arguments[1]))) {
 			result = new LateHeartbeat(deployment, isDisturbed).run();
 		}
@@ -115,9 +115,9 @@
 		this.deployment.record().write(verdict);
 		System.out.println(verdict);
 		if (this.successes.get() < 0.9 * threads.size()) {
-			return 2;
+			return Deployment.NOT_RUN;
 		}
-		return (this.lateRequests.get() > 0) ? 1 : 0;
+		return (this.lateRequests.get() > 0) ? Deployment.RULE_BROKEN : Deployment.RULE_HELD;
 	}
 
 	private static long millisSince(long nanos) {
--- a/review/harness-2/RestartedReplica.java
+++ b/review/harness-2/RestartedReplica.java
@@ -24,7 +24,7 @@
 	 */
 	public static void main(String[] arguments) {
 		boolean isDisturbed = !"0".equals(System.getenv("TROUBLE"));
-		int result = 2;
+		int result = Deployment.NOT_RUN;
 		try (Deployment deployment = new Deployment(Path.of(arguments[0]), Path.of(arguments[1]))) {
 			result = run(deployment, isDisturbed);
 		}
@@ -75,9 +75,9 @@
 		deployment.record().write(verdict);
 		System.out.println(verdict);
 		if (!isDisturbed && complete < STREAMS) {
-			return 2;
+			return Deployment.NOT_RUN;
 		}
-		return (mixed > MAX_MIXED_STREAMS) ? 1 : 0;
+		return (mixed > MAX_MIXED_STREAMS) ? Deployment.RULE_BROKEN : Deployment.RULE_HELD;
 	}
 
 }
--- a/review/harness-2/RestoredStore.java
+++ b/review/harness-2/RestoredStore.java
@@ -32,7 +32,7 @@
 	 */
 	public static void main(String[] arguments) {
 		boolean isDisturbed = !"0".equals(System.getenv("TROUBLE"));
-		int result = 2;
+		int result = Deployment.NOT_RUN;
 		try (Deployment deployment = new Deployment(Path.of(arguments[0]), Path.of(arguments[1]))) {
 			result = run(deployment, isDisturbed);
 		}
@@ -96,11 +96,11 @@
 		deployment.record().write(verdict);
 		System.out.println(verdict);
 		if (takenUp < 12 || begun < STREAMS) {
-			return 2;
+			return Deployment.NOT_RUN;
 		}
 		double shareGoneOn = (double) wentOn / takenUp;
 		double shareBegun = (double) begun / STREAMS;
-		return (shareGoneOn < shareBegun / 2) ? 1 : 0;
+		return (shareGoneOn < shareBegun / 2) ? Deployment.RULE_BROKEN : Deployment.RULE_HELD;
 	}
 
 	private static Thread start(Runnable task) {
