--- a/review/harness-2/KilledRouter.java
+++ b/review/harness-2/KilledRouter.java
@@ -35,7 +35,7 @@
 	}
 
 	private static int run(Deployment deployment, boolean isDisturbed) throws Exception {
-		deployment.store().put("keyed.op", "config", StreamService.CONFIG);
+		deployment.store().put(Platform.name("routes"), "config", StreamService.CONFIG);
 		for (int number = 1; number <= 4; number++) {
 			deployment.addReplica("i-" + number, "reader", StreamService::answer, "v1");
 		}
--- a/review/harness-2/RestartedReplica.java
+++ b/review/harness-2/RestartedReplica.java
@@ -35,7 +35,7 @@
 	}
 
 	private static int run(Deployment deployment, boolean isDisturbed) throws Exception {
-		deployment.store().put("keyed.op", "config", StreamService.CONFIG);
+		deployment.store().put(Platform.name("routes"), "config", StreamService.CONFIG);
 		Replica first = deployment.addReplica("i-1", "reader", StreamService::answer, "v1");
 		Replica second = deployment.addReplica("i-2", "reader", StreamService::answer, "v1");
 		for (int number = 3; number <= 8; number++) {
--- a/review/harness-2/RestoredStore.java
+++ b/review/harness-2/RestoredStore.java
@@ -43,7 +43,7 @@
 	}
 
 	private static int run(Deployment deployment, boolean isRestored) throws Exception {
-		deployment.store().put("keyed.op", "config", StreamService.CONFIG);
+		deployment.store().put(Platform.name("routes"), "config", StreamService.CONFIG);
 		Replica.Worker worker = (request, replica, version, output) -> StreamService.answer(request, replica, version,
 				output, EVENTS, EVENT_MILLIS);
 		for (int number = 1; number <= 4; number++) {
--- a/review/harness-2/StreamCaller.java
+++ b/review/harness-2/StreamCaller.java
@@ -80,7 +80,8 @@
 			socket.getOutputStream()
 				.write(("POST /chat/" + this.name + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + requestId
 						+ "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS
-						+ "\r\nX-Api-Key: key-1\r\nX-Model: m\r\nX-Token-Usage: 700,800\r\nX-Prompt-Prefix: "
+						+ "\r\nX-Api-Key: key-1\r\nX-Model: m\r\n" + Platform.name("tokens") + ": 700,800\r\n"
+						+ Platform.name("prompt") + ": "
 						+ Integer.toHexString(this.name.hashCode()) + ":600,"
 						+ Integer.toHexString(requestId.hashCode()) + ":100\r\nConnection: close\r\n" + resumption
 						+ "Content-Length: " + body.length() + "\r\n\r\n" + body)
