--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/6 to review/9 start.
+# Builds the stand-ins that the scripts of review/6 to review/10 start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
--- a/review/harness-2/Deployment.java
+++ b/review/harness-2/Deployment.java
@@ -81,6 +81,19 @@
 		}
 	}
 
+	/**
+	 * Starts a router again that was killed, and waits until it is ready.
+	 * @param router the router
+	 * @throws Exception if it does not become ready
+	 */
+	void restart(RouterProcess router) throws Exception {
+		router.awaitExit(2000);
+		router.start(this.repository, this.store.address(),
+				this.routers.stream().map(RouterProcess::controlAddress).limit(3).toList());
+		router.awaitReady();
+		this.record.write("router " + router.name() + " is ready again");
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.routers.forEach(RouterProcess::close);
--- a/review/harness-2/StreamCaller.java
+++ b/review/harness-2/StreamCaller.java
@@ -34,6 +34,8 @@
 
 	private boolean takenUp;
 
+	private int lastEventBeforeTakeUp;
+
 	private boolean wentOn;
 
 	StreamCaller(String name, Record record) {
@@ -87,7 +89,10 @@
 						+ "Content-Length: " + body.length() + "\r\n\r\n" + body)
 					.getBytes(StandardCharsets.ISO_8859_1));
 			InputStream input = new BufferedInputStream(socket.getInputStream());
-			this.takenUp |= this.firstRequestId.isPresent();
+			if (this.firstRequestId.isPresent() && !this.takenUp) {
+				this.takenUp = true;
+				this.lastEventBeforeTakeUp = this.lastEvent;
+			}
 			Messages.Head head = Messages.readHead(input).orElseThrow(() -> new IOException("no answer"));
 			if (head.status() != 200) {
 				throw new IOException("status " + head.status());
@@ -133,6 +138,14 @@
 		return this.takenUp;
 	}
 
+	/**
+	 * Returns the last event that had arrived when the stream was taken up first.
+	 * @return id of the event
+	 */
+	int lastEventBeforeTakeUp() {
+		return this.lastEventBeforeTakeUp;
+	}
+
 	/**
 	 * Returns whether the stream has gone on after it was taken up.
 	 * @return true if an event has arrived since
