--- a/review/harness-2/ShortStreams.java
+++ b/review/harness-2/ShortStreams.java
@@ -15,6 +15,11 @@
 
 	private static final int STREAMS_PER_KILL = 150;
 
+	/**
+	 * Spreads the kills evenly over the 150 ms between two writes of a router.
+	 */
+	private static final int MORE_STREAMS_EACH_KILL = 8;
+
 	private static final int START_INTERVAL_MILLIS = 3;
 
 	private static final int EVENTS = 5;
@@ -58,7 +63,7 @@
 		List<StreamCaller> undisturbed = new ArrayList<>();
 		for (int kill = 1; kill <= KILLS; kill++) {
 			List<Thread> threads = new ArrayList<>();
-			for (int number = 0; number < STREAMS_PER_KILL; number++) {
+			for (int number = 0; number < STREAMS_PER_KILL + MORE_STREAMS_EACH_KILL * kill; number++) {
 				StreamCaller caller = new StreamCaller("s" + kill + "-" + number, deployment.record());
 				int otherPort = otherPorts[number % 2];
 				threads.add(start(() -> caller.run(killed.frontPort(), otherPort, otherPort)));
